breaker: doubtful errors; entry: wait for a target after a start

Cause: an order fails when a call that its instance makes fails, and the breaker took that for the instance's own fault, so that all instances of a service were failing at once. Errors after 0.3 of the usual time now need three in a row.

--- a/connection/admission/gate.go
+++ b/connection/admission/gate.go
@@ -359,3 +359,17 @@
 	return attempt.Load{Slots: t.Slots, Limit: g.limit(t), Running: t.running, Queued: len(t.queue),
 		RunningLong: t.runningLong, QueuedLong: t.queuedLong}
 }
+
+// Expected returns the usual service time of a class at a target, 0 when it is
+// not known.
+func (g *Gate) Expected(id, class string, long bool) time.Duration {
+	t := g.targets[id]
+	if t == nil {
+		return 0
+	}
+	c := t.classes[classKey{class, t.Classes[class].Long || long}]
+	if c == nil {
+		return 0
+	}
+	return time.Duration(c.service.value * float64(time.Second))
+}
--- a/connection/breaker/breaker.go
+++ b/connection/breaker/breaker.go
@@ -18,6 +18,21 @@
 	DefaultMaxSuccesses = 2
 )
 
+// DefaultMaxDoubts is the number of doubtful failures in a row that open a
+// breaker.
+const DefaultMaxDoubts = 3
+
+// Outcome is what a request that ended says of its target.
+type Outcome int
+
+const (
+	Success Outcome = iota
+	Failure         // the target's own
+	// Doubtful is a failure after the usual time of the work: it may come from
+	// what the target itself called.
+	Doubtful
+)
+
 // Options tune a Breaker. Zero values take the defaults.
 type Options struct {
 	TrialEvery   time.Duration
@@ -57,6 +72,7 @@
 	o         Options
 	failures  int // since the last time it was closed
 	successes int // since the last failure
+	doubts    int // doubtful failures in a row, while closed
 	failedAt  time.Time
 	trialAt   time.Time
 	trial     bool // one is in progress
@@ -112,17 +128,24 @@
 
 // Ended takes the outcome of a request that was started at a time. A success of
 // work that began before the last failure says nothing about what came after.
-func (b *Breaker) Ended(now, started time.Time, trial, ok bool) {
+func (b *Breaker) Ended(now, started time.Time, trial bool, o Outcome) {
 	if trial {
 		b.trial = false
 	}
+	if o == Doubtful && !b.Open() {
+		if b.doubts++; b.doubts < DefaultMaxDoubts {
+			return
+		}
+	}
 	switch {
-	case !ok:
+	case o != Success:
 		b.failures++
-		b.successes, b.failedAt = 0, now
-	case b.Open() && started.After(b.failedAt):
+		b.doubts, b.successes, b.failedAt = 0, 0, now
+	case !b.Open():
+		b.doubts = 0
+	case started.After(b.failedAt):
 		if b.successes++; b.successes >= min(b.failures, b.o.MaxSuccesses) {
-			b.failures, b.successes, b.trial = 0, 0, false
+			b.failures, b.successes, b.doubts, b.trial = 0, 0, 0, false
 		}
 	}
 }
--- a/process/entry/request.go
+++ b/process/entry/request.go
@@ -102,12 +102,8 @@
 }
 
 func (q *request) serve() {
-	if q.e.suffix.Load() == nil {
-		q.refuse(attempt.NotRun, attempt.ReasonNotReady, "this node has not joined the others yet", time.Second)
-		return
-	}
-	if q.routing == nil {
-		q.refuse(attempt.NotRun, attempt.ReasonNotReady, "this node has no configuration yet", time.Second)
+	if reason, why := q.awaitStart(); reason != attempt.ReasonNone {
+		q.refuse(attempt.NotRun, reason, why, time.Second)
 		return
 	}
 	q.rec.ConfigVersion = q.routing.config.Version
--- a/process/entry/run.go
+++ b/process/entry/run.go
@@ -38,6 +38,9 @@
 		if !ok {
 			t, ok = q.chooseFailing(ctx, next)
 		}
+		if !ok && q.awaitTarget(ctx) {
+			continue
+		}
 		if !ok {
 			q.conclude(q.outcome(), best, "no further target is in rotation")
 			return
--- a/process/gate/answer.go
+++ b/process/gate/answer.go
@@ -90,7 +90,7 @@
 		return
 	}
 	x.ok, x.well = true, resp.StatusCode < http.StatusInternalServerError
-	x.judge(x.well)
+	x.answered(resp.StatusCode)
 	x.result = order.Result{Outcome: attempt.Answered, Status: resp.StatusCode}
 	h := x.header(incarnation, resp)
 	if !x.key.IsZero() {
@@ -197,7 +197,7 @@
 	}
 	if err == nil {
 		x.ok, x.well = true, resp.StatusCode < http.StatusInternalServerError
-		x.judge(x.well)
+		x.answered(resp.StatusCode)
 		x.result = order.Result{Outcome: attempt.Answered, Status: resp.StatusCode, Header: storedHeader(resp.Header),
 			Body: make([]byte, order.MaxStoredBody+1)} // too large to be kept
 	}
--- a/process/gate/breaker.go
+++ b/process/gate/breaker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/hyssopsill/hyssopsill/connection/breaker"
@@ -43,8 +44,29 @@
 	return true
 }
 
+// doubtfulShare is the part of the usual time of the work after which an error
+// may come from what the target called. A target that is itself at fault answers
+// at once or not at all.
+const doubtfulShare = 0.3
+
+// answered judges the target by the status of its answer.
+func (x *exchange) answered(status int) {
+	outcome := breaker.Success
+	if status >= http.StatusInternalServerError {
+		outcome = breaker.Failure
+		x.g.mu.Lock()
+		usual := x.g.admission.Expected(x.target, x.class, x.long)
+		took := x.service(x.g.now())
+		x.g.mu.Unlock()
+		if float64(took) > doubtfulShare*float64(usual) {
+			outcome = breaker.Doubtful
+		}
+	}
+	x.judge(outcome)
+}
+
 // judge tells the breaker how the request ended at the target.
-func (x *exchange) judge(ok bool) {
+func (x *exchange) judge(outcome breaker.Outcome) {
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
 	if x.judged || x.t == nil || !x.started {
@@ -52,7 +74,7 @@
 	}
 	x.judged = true
 	was := x.t.breaker.Open()
-	x.t.breaker.Ended(x.g.now(), x.sentAt, x.trial, ok)
+	x.t.breaker.Ended(x.g.now(), x.sentAt, x.trial, outcome)
 	if is := x.t.breaker.Open(); is != was {
 		x.g.logBreaker(x, is)
 	}
--- a/process/gate/exchange.go
+++ b/process/gate/exchange.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hyssopsill/hyssopsill/connection/admission"
+	"github.com/hyssopsill/hyssopsill/connection/breaker"
 	"github.com/hyssopsill/hyssopsill/process/roundtrip"
 	"github.com/hyssopsill/hyssopsill/request/attempt"
 	"github.com/hyssopsill/hyssopsill/request/order"
@@ -435,7 +436,7 @@
 // refuse answers an attempt without an answer of the target.
 func (x *exchange) refuse(v attempt.Verdict, reason attempt.Reason, detail string, retryAfter time.Duration) {
 	if v == attempt.VerdictFailed || v == attempt.VerdictCrashed {
-		x.judge(false)
+		x.judge(breaker.Failure)
 	}
 	h := x.w.Header()
 	h.Set(attempt.HeaderAttempt, x.idText)
