--- a/process/entry/run.go
+++ b/process/entry/run.go
@@ -225,9 +225,14 @@
 	}
 }
 
+// reachedBefore reports whether an attempt before t may have arrived at a target.
+func (q *request) reachedBefore(t *try) bool {
+	return slices.ContainsFunc(q.history[:t.number-1], func(a attemptState) bool { return !a.Verdict.NeverStarted() && !a.NeverStarted })
+}
+
 // race makes an attempt, with a hedge beside it when the class allows one.
 func (q *request) race(ctx context.Context, t *try) result {
-	if t.number != 1 || !q.class.Hedge || !q.class.Idempotent || q.long || q.rest != nil {
+	if q.reachedBefore(t) || !q.class.Hedge || !q.class.Idempotent || q.long || q.rest != nil {
 		r := t.do()
 		q.note(&r)
 		return r
--- a/request/retry/decide.go
+++ b/request/retry/decide.go
@@ -69,6 +69,16 @@
 	return !a.proved() || a.Reason == attempt.ReasonTargetRefused || a.Reason == attempt.ReasonIncarnationMismatch
 }
 
+func countReached(history []Attempt) int {
+	n := 0
+	for _, a := range history {
+		if a.reached() {
+			n++
+		}
+	}
+	return n
+}
+
 // Action is the next step of a request.
 type Action string
 
@@ -126,12 +136,12 @@
 	switch {
 	case !p.Hedge || !p.Idempotent || p.Long:
 		return wait("in progress; this work is not hedged")
-	case len(history) > 1:
+	case countReached(history) > 1:
 		return wait("in progress; only a sole first attempt is hedged")
-	case len(history) >= p.MaxAttempts:
+	case countReached(history) >= p.MaxAttempts:
 		return wait("in progress; no attempts left")
 	}
-	due := history[0].Started.Add(p.HedgeAfter)
+	due := history[len(history)-1].Started.Add(p.HedgeAfter)
 	if now.Before(due) {
 		return Decision{Action: Wait, Why: "in progress", At: due}
 	}
@@ -168,13 +178,7 @@
 			return stop("non-idempotent work may have run")
 		}
 	}
-	reached := 0
-	for _, a := range history {
-		if a.reached() {
-			reached++
-		}
-	}
-	if reached >= p.MaxAttempts || len(history) >= max(p.MaxTries, p.MaxAttempts) {
+	if countReached(history) >= p.MaxAttempts || len(history) >= max(p.MaxTries, p.MaxAttempts) {
 		return stop("no attempts left")
 	}
 	if remaining := p.Deadline.Sub(now); remaining <= 0 || remaining < p.MinRemaining {
