--- a/process/entry/request.go
+++ b/process/entry/request.go
@@ -50,6 +50,7 @@
 	digest  poison.Digest
 	skip    func(string) bool
 	history []attemptState
+	prepaid bool // the budget was taken for the next attempt
 }
 
 // upload is the part of a body that is passed on while it arrives.
--- a/process/entry/run.go
+++ b/process/entry/run.go
@@ -46,6 +46,7 @@
 			return
 		}
 		r := q.race(ctx, t)
+		q.prepaid = r.t.replaced
 		d := q.decide()
 		for d.Action == retry.Withdraw {
 			q.withdraw(d.Number)
@@ -100,7 +101,7 @@
 
 // policy returns what class and deadline allow. e.mu is held.
 func (q *request) policy() retry.Policy {
-	p := retry.Policy{Idempotent: q.class.Idempotent, MaxAttempts: q.class.MaxAttempts, Deadline: q.deadline, Long: q.long}
+	p := retry.Policy{Idempotent: q.class.Idempotent, MaxAttempts: q.class.MaxAttempts, Prepaid: q.prepaid, Deadline: q.deadline, Long: q.long}
 	if p.MaxAttempts > 0 { // a bound on targets, not on gates
 		p.MaxTries = maxTries
 	}
@@ -202,6 +203,7 @@
 // begin adds an attempt to the history.
 func (q *request) begin(ctx context.Context, number int, l located, trickle bool, why string, seen []record.Candidate) *try {
 	t := q.newTry(ctx, number, l, trickle)
+	t.reachedBefore = q.countReached()
 	q.history = append(q.history, attemptState{
 		Attempt: retry.Attempt{Target: l.key, Node: l.member.Node, Domain: l.member.Domain, Started: t.begun, InProgress: true},
 		record:  record.Attempt{Number: number, Target: l.target.ID, Node: l.member.Node, Candidates: seen, Why: why},
@@ -225,14 +227,20 @@
 	}
 }
 
-// reachedBefore reports whether an attempt before t may have arrived at a target.
-func (q *request) reachedBefore(t *try) bool {
-	return slices.ContainsFunc(q.history[:t.number-1], func(a attemptState) bool { return !a.Verdict.NeverStarted() && !a.NeverStarted })
+// countReached counts the attempts so far that may have arrived at a target.
+func (q *request) countReached() int {
+	n := 0
+	for _, a := range q.history {
+		if a.Reached() {
+			n++
+		}
+	}
+	return n
 }
 
 // race makes an attempt, with a hedge beside it when the class allows one.
 func (q *request) race(ctx context.Context, t *try) result {
-	if q.reachedBefore(t) || !q.class.Hedge || !q.class.Idempotent || q.long || q.rest != nil {
+	if t.reachedBefore > 0 || !q.class.Hedge || !q.class.Idempotent || q.long || q.rest != nil {
 		r := t.do()
 		q.note(&r)
 		return r
--- a/process/entry/tick.go
+++ b/process/entry/tick.go
@@ -65,8 +65,8 @@
 		case health.Eject, health.PathDown:
 			for _, t := range e.tries {
 				concerned := t.l.key == c.Target || (c.Kind == health.PathDown && t.l.member.Node == c.Node)
-				if concerned && t.q.class.Idempotent && !t.trickle {
-					t.cancel(errEjected)
+				if concerned && !t.trickle {
+					t.replace(errEjected)
 				}
 			}
 		}
--- a/process/entry/try.go
+++ b/process/entry/try.go
@@ -61,10 +61,13 @@
 	trickle bool
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
-	force   bool         // no target is better than this failing one
-	noWait  bool         // refuse rather than queue: a slot is free elsewhere
-	load    attempt.Load // the gate's, with its answer
-	service time.Duration
+	force   bool // no target is better than this failing one
+	// reachedBefore counts the earlier attempts that may have arrived at a target.
+	reachedBefore int
+	replaced      bool         // ended for another attempt, for which the budget was taken
+	noWait        bool         // refuse rather than queue: a slot is free elsewhere
+	load          attempt.Load // the gate's, with its answer
+	service       time.Duration
 }
 
 // result is what became of one attempt.
@@ -113,11 +116,30 @@
 	return q.match.Route.Class
 }
 
+// replace ends the attempt in favour of another one, for which it takes from the
+// retry budget. Without another one the attempt goes on: its target may still
+// answer. e.mu is held.
+func (t *try) replace(cause error) {
+	q := t.q
+	limit := q.class.MaxAttempts
+	if !q.class.Idempotent || t.replaced || (limit > 0 && t.reachedBefore+1 >= limit) {
+		return
+	}
+	if q.e.budget(q.service).Take(q.e.now()) {
+		t.replaced = true
+		t.cancel(cause)
+	}
+}
+
 // do makes the attempt up to its verified answer or the first part of a
 // streamed one.
 func (t *try) do() result {
 	if t.trickle && t.q.class.Idempotent {
-		timer := time.AfterFunc(t.q.trickleTimeout(), func() { t.cancel(errTrickle) })
+		timer := time.AfterFunc(t.q.trickleTimeout(), func() {
+			t.q.e.mu.Lock()
+			defer t.q.e.mu.Unlock()
+			t.replace(errTrickle)
+		})
 		defer timer.Stop()
 	}
 	r := t.exchange()
--- a/request/retry/decide.go
+++ b/request/retry/decide.go
@@ -16,6 +16,8 @@
 	// when an attempt does not reach a target. With 0 it is MaxAttempts, and an
 	// overloaded gate counts as a sign that others are overloaded too.
 	MaxTries int
+	// Prepaid tells that the next attempt was already taken from the budget.
+	Prepaid bool
 	// Deadline bounds all attempts.
 	Deadline time.Time
 	// MinRemaining is the least time before the deadline that makes another
@@ -63,16 +65,16 @@
 		(a.Reason == attempt.ReasonOverload || a.Reason == attempt.ReasonDeadline || a.Reason == attempt.ReasonTargetRefused)
 }
 
-// reached reports that the attempt may have arrived at a target, which counts
+// Reached reports that the attempt may have arrived at a target, which counts
 // against the attempts of the request and against the budget.
-func (a Attempt) reached() bool {
+func (a Attempt) Reached() bool {
 	return !a.proved() || a.Reason == attempt.ReasonTargetRefused || a.Reason == attempt.ReasonIncarnationMismatch
 }
 
 func countReached(history []Attempt) int {
 	n := 0
 	for _, a := range history {
-		if a.reached() {
+		if a.Reached() {
 			n++
 		}
 	}
@@ -195,7 +197,7 @@
 	}
 	// An attempt that reached no target costs targets nothing. Overload is the
 	// exception: another gate is likely to be as busy.
-	if (last.reached() || (last.overloaded() && p.MaxTries == 0)) && !b.Take(now) {
+	if !p.Prepaid && (last.Reached() || (last.overloaded() && p.MaxTries == 0)) && !b.Take(now) {
 		return stop("retry budget exhausted")
 	}
 	d := where(history)
