--- a/connection/selection/pick.go
+++ b/connection/selection/pick.go
@@ -16,6 +16,9 @@
 	AvoidDomains []string
 	// Long work is placed by the long work at each target.
 	Long bool
+	// Distance scales the costs of targets outside the own failure domain; 0
+	// means 1. What moves many bytes has a high one.
+	Distance float64
 	// FreeOnly requires a reported idle slot.
 	FreeOnly bool
 	// Trickle, if set, claims the trickle slot of an ejected target; usually
@@ -51,6 +54,9 @@
 			return s.choice(now, m, true, "trickle request to an ejected target"), true
 		}
 	}
+	if q.Distance == 0 {
+		q.Distance = 1
+	}
 	if len(q.AvoidDomains) == 0 && !q.FreeOnly {
 		if m := s.draw(now, svc, &q, state); m != nil {
 			return s.choice(now, m, false, whyTier[m.tier]), true
@@ -94,7 +100,7 @@
 func (s *Selector) draw(now time.Time, svc *service, q *Query, state func(string) health.State) *member {
 	var best *member
 	bestCost := 0.0
-	distance := [tiers]float64{ownRegion: s.o.RemoteDomainCost, otherRegion: s.o.RemoteRegionCost}
+	distance := s.distances(q.Distance)
 	for tier, members := range svc.byTier {
 		if len(members) == 0 || (best != nil && distance[tier] >= bestCost) {
 			continue
@@ -109,7 +115,7 @@
 			if !s.accept(now, m, st.Weight) {
 				continue
 			}
-			if c := s.cost(now, m, q.Long, &st); best == nil || c < bestCost {
+			if c := s.cost(now, m, q, &st); best == nil || c < bestCost {
 				best, bestCost = m, c
 			}
 			if first != nil || len(members) == 1 || s.o.off.twoChoices {
@@ -142,7 +148,7 @@
 		if st.Ejected || st.Weight <= 0 {
 			continue
 		}
-		c := s.cost(now, m, q.Long, &st) / (st.Weight * s.warmth(now, m))
+		c := s.cost(now, m, q, &st) / (st.Weight * s.warmth(now, m))
 		if st.DomainUnreachable || st.PathSuspicion >= 1 {
 			c += suspectPathCost
 		}
--- a/connection/selection/selector.go
+++ b/connection/selection/selector.go
@@ -179,16 +179,14 @@
 	return (float64(max(own-overdue, 0)) + others) / m.slots
 }
 
+// distances returns the cost of each tier.
+func (s *Selector) distances(scale float64) [tiers]float64 {
+	return [tiers]float64{ownRegion: scale * s.o.RemoteDomainCost, otherRegion: scale * s.o.RemoteRegionCost}
+}
+
 // cost is the load with the distance of the target.
-func (s *Selector) cost(now time.Time, m *member, long bool, st *health.State) float64 {
-	c := s.load(now, m, long, st.Overdue)
-	switch m.tier {
-	case ownRegion:
-		c += s.o.RemoteDomainCost
-	case otherRegion:
-		c += s.o.RemoteRegionCost
-	}
-	return c
+func (s *Selector) cost(now time.Time, m *member, q *Query, st *health.State) float64 {
+	return s.load(now, m, q.Long, st.Overdue) + s.distances(q.Distance)[m.tier]
 }
 
 // warmth is the slow-start weight.
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -87,6 +87,7 @@
 	evidence map[string]evidence // by service
 	demand   demand
 	outcomes *outcomeLog
+	sizes    map[string]float64 // mean bytes of an exchange by route
 	probing  map[string]time.Time
 	failing  map[string]time.Time // targets out of rotation by their gates' word, until when
 }
@@ -131,6 +132,7 @@
 		demand:   newDemand(),
 		outcomes: newOutcomeLog(o.Log),
 		probing:  map[string]time.Time{},
+		sizes:    map[string]float64{},
 		failing:  map[string]time.Time{},
 	}
 	e.ending, e.endAll = context.WithCancelCause(context.Background())
--- a/process/entry/failing.go
+++ b/process/entry/failing.go
@@ -58,7 +58,7 @@
 	f := e.fleet.Load()
 	e.mu.Lock()
 	now := e.now()
-	query := selection.Query{Service: q.service, ExcludeTargets: exclude, Long: q.long}
+	query := selection.Query{Service: q.service, ExcludeTargets: exclude, Long: q.long, Distance: e.distance(q.match.Route.ID)}
 	c, ok := e.selector.Pick(now, query, e.health.State)
 	l, known := f.targets[c.Target]
 	ok = ok && known
--- a/process/entry/fleet.go
+++ b/process/entry/fleet.go
@@ -93,6 +93,7 @@
 	e.routing.Store(&routing{config: c, table: class.NewTable(routes)})
 	e.mu.Lock()
 	e.limiter.SetServices(e.now(), limits)
+	maps.DeleteFunc(e.sizes, func(id string, _ float64) bool { return !ids[id] })
 	e.learner.Forget(func(id string) bool { return ids[id] })
 	for name := range e.budgets {
 		if _, ok := c.Services[name]; !ok {
--- a/process/entry/run.go
+++ b/process/entry/run.go
@@ -165,6 +165,10 @@
 	f := e.fleet.Load()
 	e.mu.Lock()
 	now := e.now()
+	query.Distance = e.distance(q.match.Route.ID)
+	if query.Distance > 1 { // another failure domain costs more than it helps
+		query.AvoidDomains = nil
+	}
 	switch {
 	case d.Number == 1 && q.class.Idempotent:
 		query.Trickle = func(key string) bool { return e.health.TakeTrickle(now, key) }
--- a/process/entry/try.go
+++ b/process/entry/try.go
@@ -330,6 +330,15 @@
 	}
 }
 
+// size is the number of bytes of the exchange, as far as known.
+func (t *try) size(r *result) int64 {
+	answer := int64(r.held.Len())
+	if length, err := strconv.ParseInt(r.resp.Header.Get(attempt.TrailerLength), 10, 64); err == nil {
+		answer = max(answer, length)
+	}
+	return max(0, t.q.bodyLength()) + answer
+}
+
 // end reports the end of the attempt to the health tracker.
 func (t *try) end(r *result) {
 	e := t.q.e
@@ -342,6 +351,9 @@
 	delete(e.tries, t.seq)
 	e.selector.Finished(t.l.key, t.q.long)
 	e.noteFailing(now, r)
+	if r.resp != nil && r.status < http.StatusInternalServerError {
+		t.q.e.noteSize(t.q.match.Route.ID, t.size(r))
+	}
 	actions := e.take(e.health.Observe(now, ev))
 	if q := t.q; q.class.Learn && r.verdict == attempt.VerdictRan {
 		e.learner.Observe(q.match.Route.ID, q.match.PathGroup, r.took)
--- a/request/retry/decide.go
+++ b/request/retry/decide.go
@@ -224,7 +224,7 @@
 		if a.overloaded() {
 			d.ExcludeNodes = append(d.ExcludeNodes, a.Node)
 		}
-		if a.Domain != "" && a.Reason != attempt.ReasonBusy {
+		if a.Domain != "" && a.Reason != attempt.ReasonBusy && a.Reason != attempt.ReasonTargetFailing {
 			d.AvoidDomains = append(d.AvoidDomains, a.Domain)
 		}
 	}
