--- a/connection/admission/gate.go
+++ b/connection/admission/gate.go
@@ -165,12 +165,13 @@
 	it.customer = t.customerOf(it.work.Customer)
 	wait := t.expectedWait(now, it)
 	margin := it.class.margin(it.work.Deadline.Sub(now) - it.class.expected(now))
-	if g.infeasible(now, t, it, wait+margin) != attempt.ReasonNone {
+	if g.infeasible(now, t, it, wait+margin) != attempt.ReasonNone || it.tooLate(now, wait) {
 		delete(g.items, it.ticket)
 		return refusal(it, attempt.ReasonOverload, wait)
 	}
 	var others []Decision
 	if len(t.queue) >= t.QueueLimit {
+		t.markLate(now)
 		victim := t.victim(it, g.o)
 		if victim == nil {
 			delete(g.items, it.ticket)
@@ -182,6 +183,14 @@
 	return Decision{Kind: Queued, Ticket: it.ticket, Work: it.work, Others: others}
 }
 
+// tooLate reports that work which starts after wait misses its objective. Such
+// work does not queue: the capacity that it would take later is better spent on
+// work that arrives by then, and its caller learns at once.
+func (it *item) tooLate(now time.Time, wait time.Duration) bool {
+	objective := it.class.Objective
+	return objective > 0 && wait+it.class.expected(now) > objective
+}
+
 // refuse refuses waiting work.
 func (g *Gate) refuse(t *target, it *item, reason attempt.Reason, retry time.Duration) Decision {
 	if !g.o.keepDisplaced {
@@ -225,6 +234,7 @@
 		return nil
 	}
 	var out []Decision
+	t.markLate(now)
 	for {
 		for i := len(t.queue) - 1; i >= 0; i-- { // refuse removes the item
 			it := t.queue[i]
--- a/connection/admission/target.go
+++ b/connection/admission/target.go
@@ -242,6 +242,9 @@
 	if a.prio != b.prio && !o.noPriority {
 		return a.prio < b.prio
 	}
+	if a.late != b.late {
+		return b.late
+	}
 	if a.customer != b.customer && a.customer.served != b.customer.served && !o.noFair {
 		return a.customer.served < b.customer.served
 	}
@@ -252,6 +255,18 @@
 	return a.ticket < b.ticket
 }
 
+// markLate notes which waiting work can no longer meet its objective.
+func (t *target) markLate(now time.Time) {
+	for _, it := range t.queue {
+		it.markLate(now)
+	}
+}
+
+func (it *item) markLate(now time.Time) {
+	objective := it.class.Objective
+	it.late = objective > 0 && now.Add(it.class.expected(now)).Sub(it.queuedAt) > objective
+}
+
 // best returns the waiting short or long work that goes first.
 func (t *target) best(long bool, o Options) *item {
 	var best *item
--- a/connection/admission/types.go
+++ b/connection/admission/types.go
@@ -70,6 +70,9 @@
 type Class struct {
 	Priority Priority
 	Long     bool // runs within the long share
+	// Objective is the time from arrival to end within which work has its full
+	// worth; 0 means none. Work that can still meet it goes first.
+	Objective time.Duration
 }
 
 // Target is an announced target.
@@ -133,6 +136,7 @@
 	class    *classState
 	prio     Priority
 	long     bool
+	late     bool // can no longer meet its objective, as of the last look
 	customer *customer
 	queuedAt time.Time
 	started  time.Time
--- a/process/entry/run.go
+++ b/process/entry/run.go
@@ -39,6 +39,7 @@
 			t, ok = q.chooseFailing(ctx, next)
 		}
 		if !ok && q.awaitTarget(ctx) {
+			next = q.again()
 			continue
 		}
 		if !ok {
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -28,10 +28,13 @@
 	Token       string // fleet token
 	HeaderBytes int64  // bound on the header of a target's answer
 	Surface     attempt.Surface
-	Now         func() time.Time
-	Rand        *rand.Rand
-	Log         zerolog.Logger
-	Reporter    invariant.Reporter
+	// QueuePerSlot is the work that may wait per slot of a target where the
+	// configuration names no limit. 0: the default of admission.Options.
+	QueuePerSlot int
+	Now          func() time.Time
+	Rand         *rand.Rand
+	Log          zerolog.Logger
+	Reporter     invariant.Reporter
 	// Record takes changes of state.
 	Record func(record.Record)
 	// Changed is called after the announced targets changed.
@@ -101,7 +104,7 @@
 		}),
 		busy:      make(chan struct{}, 1),
 		targets:   map[string]*target{},
-		admission: admission.New(admission.Options{}, o.Reporter),
+		admission: admission.New(admission.Options{QueuePerSlot: o.QueuePerSlot}, o.Reporter),
 		poison:    poison.New(poison.Options{Node: o.Node}),
 		queued:    map[admission.Ticket]chan admission.Decision{},
 		hasQueue:  make(chan struct{}, 1),
@@ -188,7 +191,7 @@
 	at.QueueLimit = service.QueueLimit
 	at.Classes = make(map[string]admission.Class, len(service.Classes))
 	for name, c := range service.Classes {
-		at.Classes[name] = admission.Class{Priority: admission.ParsePriority(string(c.Priority)), Long: c.Long}
+		at.Classes[name] = admission.Class{Priority: admission.ParsePriority(string(c.Priority)), Long: c.Long, Objective: time.Duration(c.Objective)}
 	}
 	return at
 }
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -132,7 +132,7 @@
 func (n *Node) buildRoles() {
 	s := n.o.Settings
 	n.gate = gate.New(gate.Options{
-		Node: s.Node, Token: s.FleetToken, HeaderBytes: int64(s.Limits.HeaderBytes), Surface: n.o.Surface,
+		Node: s.Node, Token: s.FleetToken, HeaderBytes: int64(s.Limits.HeaderBytes), Surface: n.o.Surface, QueuePerSlot: s.Defaults.QueuePerSlot,
 		Now: n.now, Rand: newRand(), Log: n.log, Reporter: n.metrics.Invariants, Record: n.exporter.Record,
 		Poison: func(cs []poison.Change) { n.entry.Exonerate(cs) },
 	})
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -22,6 +22,7 @@
 	DefaultLogLevel          = "info"
 	DefaultFloor             = 0.5
 	DefaultRetryShare        = 0.1
+	DefaultQueuePerSlot      = 4
 	// DefaultDrainNotice is within the 3 s after which a leaving node receives
 	// no new work.
 	DefaultDrainNotice = time.Second
@@ -68,6 +69,8 @@
 	// Floor is the share of a service's targets, 0 to 1, that ejection leaves
 	// in rotation. Default 0.5.
 	Floor float64 `toml:"floor"`
+	// QueuePerSlot is the work that may wait per slot of a target. Default 4.
+	QueuePerSlot int `toml:"queue_per_slot"`
 	// RetryShare is the share of the fleet's first attempts that may be sent
 	// again, 0 to 1. Default 0.1.
 	RetryShare float64 `toml:"retry_share"`
@@ -147,6 +150,7 @@
 	setDefault(&s.Listen.Admin, "127.0.0.1:7404")
 	setDefault(&s.Defaults.Floor, DefaultFloor)
 	setDefault(&s.Defaults.RetryShare, DefaultRetryShare)
+	setDefault(&s.Defaults.QueuePerSlot, DefaultQueuePerSlot)
 	setDefault(&s.Limits.HeaderBytes, DefaultHeaderBytes)
 	setDefault(&s.Limits.BodyBytes, DefaultBodyBytes)
 	setDefault(&s.Limits.ReadHeaderTimeout, DefaultReadHeaderTimeout)
@@ -200,6 +204,9 @@
 	if !(d.Floor >= 0 && d.Floor <= 1) {
 		doc.Add("defaults.floor", "want a share from 0 to 1, got %v", d.Floor)
 	}
+	if d.QueuePerSlot < 0 {
+		doc.Add("defaults.queue_per_slot", "must not be negative")
+	}
 	if !(d.RetryShare >= 0 && d.RetryShare <= 1) {
 		doc.Add("defaults.retry_share", "want a share from 0 to 1, got %v", d.RetryShare)
 	}
--- a/process/settings/template.go
+++ b/process/settings/template.go
@@ -68,6 +68,8 @@
 [defaults]
 # Share of a service's targets that ejection leaves in rotation, where the configuration does not say.
 floor = 0.5
+# Work that may wait per slot of a target, where the configuration does not say.
+queue_per_slot = 4
 # Share of the first attempts that may be sent again.
 retry_share = 0.1
 # Attempts per second, over the whole fleet and for each service, that may be sent again in addition; 0 means one per
--- a/version/config/model.go
+++ b/version/config/model.go
@@ -75,6 +75,9 @@
 	Priority Priority `toml:"priority,omitempty"`
 	// Deadline bounds a request including all attempts. Default 2s.
 	Deadline Duration `toml:"deadline,omitempty"`
+	// Objective is the latency within which an answer has its full worth. Work
+	// that can still meet it goes first. Default 0: none.
+	Objective Duration `toml:"objective,omitempty"`
 	// Idempotent work may be run again. Default false.
 	Idempotent bool `toml:"idempotent,omitempty"`
 	// Long work, such as a download, gets its own share of slots.
--- a/version/config/validate.go
+++ b/version/config/validate.go
@@ -109,6 +109,9 @@
 		add(key+".priority", "%q: want order, interactive or background", c.Priority)
 	}
 	checkDuration(key+".deadline", c.Deadline, add)
+	if c.Objective != 0 {
+		checkDuration(key+".objective", c.Objective, add)
+	}
 	checkNotNegative(key+".max_attempts", float64(c.MaxAttempts), add)
 	if c.MaxBody < 0 || c.MaxBody > maxBodySize {
 		add(key+".max_body", "is %d, want 0 to %d bytes", c.MaxBody, maxBodySize)
