--- /dev/null
+++ b/connection/breaker/breaker_test.go
@@ -0,0 +1,138 @@
+package breaker
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// Guards against a target that fails for seconds and gets non-idempotent work
+// after its first failure, and against one that never returns.
+func TestOpensAfterOneFailureAndCloses(t *testing.T) {
+	b := New(Options{})
+	if b.Admit(at(0), false) != Pass {
+		t.Fatal("a target without failures is refused")
+	}
+	b.Ended(at(10), at(0), false, Failure)
+	if b.Admit(at(11), false) != Refuse {
+		t.Fatal("non-idempotent work goes to a target that just failed")
+	}
+	if b.Admit(at(11), true) != Trial {
+		t.Fatal("the first trial is refused")
+	}
+	if b.Admit(at(12), true) != Refuse {
+		t.Fatal("two trials at once")
+	}
+	b.Ended(at(60), at(11), true, Success)
+	if b.Open() || b.Admit(at(61), false) != Pass {
+		t.Fatal("one failure and one success leave it open")
+	}
+}
+
+// Guards against a lucky success that closes the breaker of a target which fails
+// nine requests in ten, and against trials that use up the retry budget.
+func TestBacksOffAndWantsTwoSuccesses(t *testing.T) {
+	b := New(Options{})
+	b.Ended(at(0), at(0), false, Failure)
+	b.Ended(at(1), at(0), false, Failure)
+	if b.Admit(at(100), true) != Refuse {
+		t.Fatal("the second trial follows at once")
+	}
+	if b.Admit(at(300), true) != Trial {
+		t.Fatal("no trial after the pause")
+	}
+	b.Ended(at(310), at(300), true, Success)
+	if !b.Open() {
+		t.Fatal("one success closes after two failures")
+	}
+	if b.Admit(at(311), true) != Trial {
+		t.Fatal("after a success the next trial waits")
+	}
+	b.Ended(at(320), at(311), true, Success)
+	if b.Open() {
+		t.Fatal("two successes do not close")
+	}
+}
+
+// Guards against a service whose instances all count as failing because a
+// service that they call fails.
+func TestDoubtfulFailuresNeedThreeInARow(t *testing.T) {
+	b := New(Options{})
+	for i := range 10 {
+		b.Ended(at(i), at(i), false, Doubtful)
+		b.Ended(at(i), at(i), false, Doubtful)
+		b.Ended(at(i), at(i), false, Success)
+	}
+	if b.Open() {
+		t.Fatal("opened although each third request succeeds")
+	}
+	for i := range DefaultMaxDoubts {
+		b.Ended(at(20+i), at(20+i), false, Doubtful)
+	}
+	if !b.Open() {
+		t.Fatal("three doubtful failures in a row do not open")
+	}
+}
+
+// Guards against a success that was sent before the failure and closes the
+// breaker after it.
+func TestEarlierSuccessDoesNotClose(t *testing.T) {
+	b := New(Options{})
+	b.Ended(at(100), at(90), false, Failure)
+	b.Ended(at(110), at(50), false, Success)
+	if !b.Open() {
+		t.Fatal("closed by work that began before the failure")
+	}
+}
+
+// Guards against a target that gets only non-idempotent work and stays out for
+// ever, and against a trial that is lost with its caller.
+func TestLoneTrialAndAbandonedTrial(t *testing.T) {
+	b := New(Options{})
+	b.Ended(at(0), at(0), false, Failure)
+	if b.Admit(at(2000), false) != Refuse || b.Admit(at(3000), false) != Trial {
+		t.Fatal("non-idempotent work is not tried after LoneTrial")
+	}
+	b.Abandoned(true)
+	if b.Admit(at(3500), true) != Trial {
+		t.Fatal("an abandoned trial blocks the next one")
+	}
+}
+
+// Guards against a breaker that never admits again: from any history, repeatable
+// work is admitted within the longest pause once no trial is in progress, and
+// two successes close it.
+func TestAlwaysReturns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, now := New(Options{}), 0
+		for range rapid.IntRange(0, 50).Draw(t, "steps") {
+			now += rapid.IntRange(1, 400).Draw(t, "ms")
+			repeatable := rapid.Bool().Draw(t, "repeatable")
+			switch d := b.Admit(at(now), repeatable); {
+			case d == Refuse:
+				if !b.Open() {
+					t.Fatal("a closed breaker refuses")
+				}
+			default:
+				outcome := Outcome(rapid.IntRange(0, 2).Draw(t, "outcome"))
+				b.Ended(at(now), at(now-1), d == Trial, outcome)
+			}
+		}
+		for range DefaultMaxSuccesses + 1 {
+			now += int(DefaultTrialMost/time.Millisecond) + 1
+			d := b.Admit(at(now), true)
+			if d == Refuse {
+				t.Fatal("repeatable work is refused after the longest pause")
+			}
+			b.Ended(at(now+1), at(now), d == Trial, Success)
+		}
+		if b.Open() {
+			t.Fatal("successes do not close the breaker")
+		}
+	})
+}
--- /dev/null
+++ b/version/document/core_test.go
@@ -0,0 +1,94 @@
+package document
+
+import (
+	"errors"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hyssopsill/hyssopsill/version/config"
+	"github.com/hyssopsill/hyssopsill/version/distribute"
+)
+
+var errBroken = errors.New("broken")
+
+// decode takes a version in decimal digits for a document.
+func decode(data []byte) (*config.Config, error) {
+	version, err := strconv.ParseInt(string(data), 10, 64)
+	if err != nil {
+		return nil, errBroken
+	}
+	return &config.Config{Version: version}, nil
+}
+
+func newCore(onConfig func(*config.Config)) *Core {
+	return New(Options{Node: "n0", Decode: decode, OnConfig: onConfig}, rand.New(rand.NewPCG(1, 2)), nil)
+}
+
+// Guards against a node on which a late, repeated or broken document replaces
+// the one in force.
+func TestVersionsNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var inForce []int64
+		c := newCore(func(c *config.Config) { inForce = append(inForce, c.Version) })
+		highest := int64(0)
+		for _, v := range rapid.SliceOf(rapid.Int64Range(1, 20)).Draw(t, "versions") {
+			outcome, err := c.Offer([]byte(strconv.FormatInt(v, 10)))
+			if err != nil || (outcome == InForce) != (v > highest) {
+				t.Fatalf("version %d after %d: %s, %v", v, highest, outcome, err)
+			}
+			highest = max(highest, v)
+			if outcome, err := c.Offer([]byte("no number")); outcome != Refused || !errors.Is(err, errBroken) {
+				t.Fatalf("broken document: %s, %v", outcome, err)
+			}
+			if c.Version() != highest {
+				t.Fatalf("version %d in force, want %d", c.Version(), highest)
+			}
+		}
+		for i := 1; i < len(inForce); i++ {
+			if inForce[i] <= inForce[i-1] {
+				t.Fatalf("versions in force: %v", inForce)
+			}
+		}
+	})
+}
+
+// Guards against a node that the log service turns away and that nobody tells:
+// it asks a peer with a newer version, without one any peer, and not too often.
+func TestAsksPeersThatAreAhead(t *testing.T) {
+	c := newCore(nil)
+	now := time.Unix(0, 0)
+	if _, ok := c.Ahead(now); ok {
+		t.Fatal("asks a peer without knowing one")
+	}
+	c.SetPeers([]distribute.Peer{{Node: "n0"}, {Node: "n1", Version: 0}})
+	if p, ok := c.Ahead(now); !ok || p.Node != "n1" {
+		t.Fatalf("a node without a document asks %+v, %v", p, ok)
+	}
+	if _, ok := c.Ahead(now.Add(askEvery / 2)); ok {
+		t.Fatal("asks again at once")
+	}
+	if _, err := c.Offer([]byte("5")); err != nil {
+		t.Fatal(err)
+	}
+	c.SetPeers([]distribute.Peer{{Node: "n1", Version: 5}, {Node: "n2", Version: 4}})
+	if _, ok := c.Ahead(now.Add(time.Minute)); ok {
+		t.Fatal("asks a peer that is not ahead")
+	}
+	if to := c.Targets(); len(to) != 1 || to[0].Node != "n2" {
+		t.Fatalf("passes on to %+v, want the peer that is behind", to)
+	}
+	c.SetPeers([]distribute.Peer{{Node: "n1", Version: 6}})
+	if p, ok := c.Ahead(now.Add(time.Minute)); !ok || p.Node != "n1" {
+		t.Fatalf("asks %+v, %v", p, ok)
+	}
+	if data, newer := c.Newer(4); !newer || string(data) != "5" {
+		t.Fatalf("newer than 4: %s, %v", data, newer)
+	}
+	if _, newer := c.Newer(5); newer {
+		t.Fatal("newer than the version in force")
+	}
+}
