node: drain until the platform ends the process; repeated SIGTERM goes on with the drain

Ruled out: the idle bound of listeners, the gate's drain. The drain has no bound of its own now, and SIGHUP no longer ends the process: it reports what changed.

--- a/cmd/hyssopsilld/main.go
+++ b/cmd/hyssopsilld/main.go
@@ -87,18 +87,28 @@
 
 // run serves on the project's own surface.
 func run(ctx context.Context, c *cli.Command) error {
-	return serve(ctx, c, os.Stderr, func(s settings.Settings, log zerolog.Logger) (node.Options, error) {
+	return serve(ctx, c, environment{out: os.Stderr, options: func(s settings.Settings, log zerolog.Logger) (node.Options, error) {
 		store, err := platform.NewStore(platform.StoreOptions{BaseURL: s.LogURL})
 		return node.Options{Settings: s, Log: log, Platform: store}, err
-	})
+	}})
 }
 
 // runMesh serves on the users' platform, where logs go to standard output.
 func runMesh(ctx context.Context, c *cli.Command) error {
-	return serve(ctx, c, os.Stdout, platform.NodeOptions)
+	return serve(ctx, c, environment{out: os.Stdout, options: platform.NodeOptions, repeatsSignals: true})
 }
 
-func serve(ctx context.Context, c *cli.Command, out io.Writer, options func(settings.Settings, zerolog.Logger) (node.Options, error)) error {
+// environment is what a node runs in.
+type environment struct {
+	out     io.Writer // logs
+	options func(settings.Settings, zerolog.Logger) (node.Options, error)
+	// repeatsSignals tells that SIGTERM may come again during a drain, with a
+	// grace of its own, and that the environment kills the process when it is
+	// over. Otherwise a second signal ends the process at once.
+	repeatsSignals bool
+}
+
+func serve(ctx context.Context, c *cli.Command, e environment) error {
 	s, err := load(c.String("settings"))
 	if err != nil {
 		return err
@@ -107,8 +117,8 @@
 	if err != nil {
 		return err
 	}
-	logger := zerolog.New(out).Level(level).With().Timestamp().Str("node", s.Node).Logger()
-	o, err := options(s, logger)
+	logger := zerolog.New(e.out).Level(level).With().Timestamp().Str("node", s.Node).Logger()
+	o, err := e.options(s, logger)
 	if err != nil {
 		return err
 	}
@@ -123,9 +133,14 @@
 	go func() {
 		<-signals
 		drain()
-		<-signals
-		logger.Error().Msgf("node: second signal, stopping at once")
-		os.Exit(exitKilled)
+		for s := range signals {
+			if !e.repeatsSignals {
+				logger.Error().Msg("node: second signal, stopping at once")
+				os.Exit(exitKilled)
+			}
+			logger.Info().Str("signal", s.String()).Msg("node: repeated signal, the drain goes on")
+		}
 	}()
+	go watchReload(ctx, c.String("settings"), s, logger)
 	return n.Serve(ctx)
 }
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -1,10 +1,8 @@
 package entry
 
 import (
-	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"errors"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -71,8 +69,6 @@
 	bindings *bindings
 	sequence atomic.Uint64
 	active   atomic.Int64
-	ending   context.Context // done when all requests are to end
-	endAll   context.CancelCauseFunc
 	closing  atomic.Bool
 
 	mu       sync.Mutex
@@ -135,7 +131,6 @@
 		sizes:    map[string]float64{},
 		failing:  map[string]time.Time{},
 	}
-	e.ending, e.endAll = context.WithCancelCause(context.Background())
 	e.bindings = newBindings(e, order.Owner{Node: o.Node})
 	e.fleet.Store(newFleet(membership.View{}))
 	e.health.SetEntries(o.Node, 1)
@@ -188,11 +183,6 @@
 	e.o.Record(record.Record{At: now, Node: e.o.Node, Kind: kind, Change: &c})
 }
 
-var errDrained = errors.New("the node ends")
-
-// EndRequests ends all requests in progress with what is known of them.
-func (e *Entry) EndRequests() { e.endAll(errDrained) }
-
 // ServeHTTP serves one request of a caller.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.active.Add(1)
--- a/process/entry/run.go
+++ b/process/entry/run.go
@@ -19,7 +19,6 @@
 	q.digest = poison.DigestOf(q.service, q.r.Method, q.r.URL.Path, q.r.URL.RawQuery, q.body)
 	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
 	defer cancel()
-	defer context.AfterFunc(q.e.ending, cancel)()
 	if q.e.o.Quarantined(q.digest) {
 		q.refuse(attempt.NotRun, attempt.ReasonQuarantined, "two targets crashed while this request ran", 0)
 		return
--- a/process/node/drain.go
+++ b/process/node/drain.go
@@ -8,10 +8,6 @@
 	"github.com/hyssopsill/hyssopsill/request/record"
 )
 
-// drainMargin is how long before the drain timeout the requests in progress are
-// ended, so that their callers get an answer instead of a cut connection.
-const drainMargin = 400 * time.Millisecond
-
 // servers of a node.
 type servers struct{ caller, peerData, announce, admin *httpService }
 
@@ -50,10 +46,6 @@
 	case <-time.After(n.o.Settings.DrainNotice):
 	case <-ctx.Done():
 	}
-	if limit := n.o.Settings.DrainTimeout; limit > drainMargin {
-		stop := time.AfterFunc(limit-drainMargin-n.now().Sub(begun), n.entry.EndRequests)
-		defer stop.Stop()
-	}
 	// Callers first: their requests may run at this node's own gate.
 	n.shutdown(ctx, n.servers.caller)
 	n.shutdown(ctx, n.servers.peerData)
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/url"
 	"os"
+	"reflect"
 	"strings"
 	"time"
 
@@ -275,3 +276,17 @@
 		doc.Add("limits.connections", "must not be negative")
 	}
 }
+
+// Changed returns the top-level keys in which two settings differ. The token is
+// not among them, so that logs do not tell of it.
+func (s Settings) Changed(other Settings) []string {
+	var keys []string
+	a, b := reflect.ValueOf(s), reflect.ValueOf(other)
+	for i := range a.NumField() {
+		key := a.Type().Field(i).Tag.Get("toml")
+		if key != "fleet_token" && !reflect.DeepEqual(a.Field(i).Interface(), b.Field(i).Interface()) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
