gates keep the budget of repeats of a service together

Each gate now holds an equal part for its service's targets, and an entry that one gate refuses asks the next.

--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -39,12 +39,14 @@
 	Reporter             invariant.Reporter
 	Surface              attempt.Surface
 	HostService          string // service of the targets on this host
-	// RetryShare and RetryExtra are the budget of retries: a share of the first
-	// attempts, and retries/s of the whole fleet in addition. 0: the defaults of
-	// retry.Options.
-	RetryShare, RetryExtra float64
-	Platform               eventlog.Log // for the bindings of foreign order keys
-	Record                 func(record.Record)
+	// RetryShare is the share of first attempts that may be sent again. 0: the
+	// default of retry.Options.
+	RetryShare float64
+	// GateBudget tells that gates keep the budget of retries, so that this entry
+	// has none of its own.
+	GateBudget bool
+	Platform   eventlog.Log // for the bindings of foreign order keys
+	Record     func(record.Record)
 	// Observe counts an ended request.
 	Observe func(service, class, customer string, o attempt.Outcome, r attempt.Reason, d time.Duration)
 
@@ -90,7 +92,7 @@
 
 // Bounds of the connections to gates.
 const (
-	gateDialTimeout = time.Second
+	gateDialTimeout = 500 * time.Millisecond
 	gateIdle        = 256
 	gateIdleTimeout = 60 * time.Second
 )
@@ -158,17 +160,12 @@
 func (e *Entry) budget(service string) *retry.Budget {
 	b := e.budgets[service]
 	if b == nil {
-		b = retry.NewBudget(retry.Options{Share: e.o.RetryShare, PerSecond: e.extraRetries()})
+		b = retry.NewBudget(retry.Options{Share: e.o.RetryShare, Unlimited: e.o.GateBudget})
 		e.budgets[service] = b
 	}
 	return b
 }
 
-// extraRetries is this node's part of the fleet's retries/s.
-func (e *Entry) extraRetries() float64 {
-	return e.o.RetryExtra / float64(max(1, e.fleet.Load().entries))
-}
-
 // hash returns the form in which records name customers and order keys: a
 // digest keyed with the fleet token.
 func (e *Entry) hash(kind, text string) string {
--- a/process/entry/fleet.go
+++ b/process/entry/fleet.go
@@ -171,11 +171,6 @@
 	changes := e.health.SetTargets(now, infos)
 	e.health.SetEntries(e.o.Node, f.entries)
 	e.limiter.SetDefaultShare(now, 1/float64(max(1, f.entries)))
-	if e.o.RetryExtra > 0 {
-		for _, b := range e.budgets {
-			b.SetPerSecond(e.extraRetries())
-		}
-	}
 	clear(e.evidence)
 	actions := e.take(changes)
 	e.mu.Unlock()
--- a/process/entry/try.go
+++ b/process/entry/try.go
@@ -122,6 +122,9 @@
 func (t *try) replace(cause error) {
 	q := t.q
 	limit := q.class.MaxAttempts
+	if q.e.o.GateBudget { // whether another attempt is possible, a gate knows; a hedge asks
+		return
+	}
 	if !q.class.Idempotent || t.replaced || (limit > 0 && t.reachedBefore+1 >= limit) {
 		return
 	}
@@ -234,6 +237,9 @@
 	if name := q.e.o.Surface.CallerService; name != "" {
 		fields = append(fields, roundtrip.Field{Name: name, Value: q.e.o.HostService})
 	}
+	if t.reachedBefore > 0 {
+		fields = append(fields, roundtrip.Field{Name: attempt.HeaderRepeat, Value: "1"})
+	}
 	if t.force {
 		fields = append(fields, roundtrip.Field{Name: attempt.HeaderForce, Value: "1"})
 	}
--- a/process/gate/exchange.go
+++ b/process/gate/exchange.go
@@ -77,7 +77,7 @@
 	if !x.passBreaker() {
 		return
 	}
-	if !x.admit() {
+	if !x.passRepeat() || !x.admit() {
 		x.unjudged()
 		return
 	}
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -19,6 +19,7 @@
 	"github.com/hyssopsill/hyssopsill/request/order"
 	"github.com/hyssopsill/hyssopsill/request/poison"
 	"github.com/hyssopsill/hyssopsill/request/record"
+	"github.com/hyssopsill/hyssopsill/request/retry"
 	"github.com/hyssopsill/hyssopsill/version/config"
 )
 
@@ -28,6 +29,12 @@
 	Token       string // fleet token
 	HeaderBytes int64  // bound on the header of a target's answer
 	Surface     attempt.Surface
+	// RetryShare, RetrySlack and RetryWindow are the budget of repeats for each
+	// service, kept by all its gates together. A slack of 0 means that entries
+	// keep it.
+	RetryShare  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
 	// QueuePerSlot is the work that may wait per slot of a target where the
 	// configuration names no limit. 0: the default of admission.Options.
 	QueuePerSlot int
@@ -65,6 +72,9 @@
 	self      order.Owner
 	orders    *order.Registry // nil until Start
 	poison    *poison.Tracker
+	repeats   map[string]*retry.Budget // by service
+	sharers   map[string]int           // targets of each service in the fleet
+	since     time.Time                // of sharers
 	queued    map[admission.Ticket]chan admission.Decision
 	hasQueue  chan struct{}                // work was queued where none was
 	waiting   map[attempt.ID]chan struct{} // repeats of an order in progress
@@ -110,6 +120,7 @@
 		hasQueue:  make(chan struct{}, 1),
 		waiting:   map[attempt.ID]chan struct{}{},
 		active:    map[attempt.ID]*exchange{},
+		repeats:   map[string]*retry.Budget{},
 	}
 	g.peer = g.peerMux()
 	return g
--- a/process/node/fleet.go
+++ b/process/node/fleet.go
@@ -141,9 +141,24 @@
 		g.n.exporter.Record(r)
 	}
 	g.n.entry.SetView(v)
+	g.n.gate.SetSharers(sharers(v))
 	g.merge(v)
 }
 
+// sharers counts the targets of each service.
+func sharers(v membership.View) map[string]int {
+	out := map[string]int{}
+	for _, m := range v.Members {
+		if m.State == membership.NodeDead || m.State == membership.NodeLeft {
+			continue
+		}
+		for _, t := range m.Targets {
+			out[t.Service]++
+		}
+	}
+	return out
+}
+
 // merge takes in the reports of other nodes that changed.
 func (g *fleetView) merge(v membership.View) {
 	g.round++
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -133,12 +133,13 @@
 	s := n.o.Settings
 	n.gate = gate.New(gate.Options{
 		Node: s.Node, Token: s.FleetToken, HeaderBytes: int64(s.Limits.HeaderBytes), Surface: n.o.Surface, QueuePerSlot: s.Defaults.QueuePerSlot,
+		RetryShare: s.Defaults.RetryShare, RetrySlack: s.Defaults.RetrySlack, RetryWindow: s.Defaults.RetryWindow,
 		Now: n.now, Rand: newRand(), Log: n.log, Reporter: n.metrics.Invariants, Record: n.exporter.Record,
 		Poison: func(cs []poison.Change) { n.entry.Exonerate(cs) },
 	})
 	n.entry = entry.New(entry.Options{
 		Node: s.Node, Region: s.Region, Domain: s.Domain, Token: s.FleetToken, LogRetention: s.LogRetention,
-		Surface: n.o.Surface, HostService: n.o.HostService, RetryShare: s.Defaults.RetryShare, RetryExtra: s.Defaults.RetryExtra,
+		Surface: n.o.Surface, HostService: n.o.HostService, RetryShare: s.Defaults.RetryShare, GateBudget: s.Defaults.RetrySlack > 0,
 		HeaderBytes: int64(s.Limits.HeaderBytes), BodyBytes: s.Limits.BodyBytes,
 		Now: n.now, Rand: newRand(), Log: n.log, Reporter: n.metrics.Invariants, Platform: n.o.Platform,
 		Record: n.exporter.Record, Observe: n.metrics.ObserveRequest, Quarantined: n.gate.Quarantined,
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -23,6 +23,7 @@
 	DefaultLogLevel          = "info"
 	DefaultFloor             = 0.5
 	DefaultRetryShare        = 0.1
+	DefaultRetryWindow       = 10 * time.Second
 	DefaultQueuePerSlot      = 4
 	// DefaultDrainNotice is within the 3 s after which a leaving node receives
 	// no new work.
@@ -72,13 +73,16 @@
 	Floor float64 `toml:"floor"`
 	// QueuePerSlot is the work that may wait per slot of a target. Default 4.
 	QueuePerSlot int `toml:"queue_per_slot"`
-	// RetryShare is the share of the fleet's first attempts that may be sent
-	// again, 0 to 1. Default 0.1.
+	// RetryShare is the share of first attempts that may be sent again, 0 to 1.
+	// Default 0.1.
 	RetryShare float64 `toml:"retry_share"`
-	// RetryExtra is the number of attempts per second, over the whole fleet and
-	// for each service, that may be sent again in addition. Default 0: one per
-	// second and node.
-	RetryExtra float64 `toml:"retry_extra"`
+	// RetrySlack is the number of attempts that may be sent again to a service
+	// in addition, over the whole fleet and within RetryWindow. The gates of the
+	// service keep to it together. Default 0: each entry keeps a budget of its
+	// own with one per second in addition.
+	RetrySlack float64 `toml:"retry_slack"`
+	// RetryWindow is the time over which the budget is counted. Default 10s.
+	RetryWindow time.Duration `toml:"retry_window"`
 }
 
 // Listen holds the addresses of the listeners, host:port. Port 0 picks a free
@@ -151,6 +155,7 @@
 	setDefault(&s.Listen.Admin, "127.0.0.1:7404")
 	setDefault(&s.Defaults.Floor, DefaultFloor)
 	setDefault(&s.Defaults.RetryShare, DefaultRetryShare)
+	setDefault(&s.Defaults.RetryWindow, DefaultRetryWindow)
 	setDefault(&s.Defaults.QueuePerSlot, DefaultQueuePerSlot)
 	setDefault(&s.Limits.HeaderBytes, DefaultHeaderBytes)
 	setDefault(&s.Limits.BodyBytes, DefaultBodyBytes)
@@ -211,8 +216,11 @@
 	if !(d.RetryShare >= 0 && d.RetryShare <= 1) {
 		doc.Add("defaults.retry_share", "want a share from 0 to 1, got %v", d.RetryShare)
 	}
-	if !(d.RetryExtra >= 0) || math.IsInf(d.RetryExtra, 0) {
-		doc.Add("defaults.retry_extra", "want 0 or more, got %v", d.RetryExtra)
+	if !(d.RetrySlack >= 0) || math.IsInf(d.RetrySlack, 0) {
+		doc.Add("defaults.retry_slack", "want 0 or more, got %v", d.RetrySlack)
+	}
+	if d.RetryWindow < time.Second {
+		doc.Add("defaults.retry_window", "want 1s or more, got %s", d.RetryWindow)
 	}
 }
 
--- a/process/settings/template.go
+++ b/process/settings/template.go
@@ -72,7 +72,8 @@
 queue_per_slot = 4
 # Share of the first attempts that may be sent again.
 retry_share = 0.1
-# Attempts per second, over the whole fleet and for each service, that may be sent again in addition; 0 means one per
-# second and node.
-retry_extra = 0.0
+# Attempts that may be sent again to a service in addition, over the whole fleet and within the window. The gates of the
+# service keep to it together; with 0 each entry has a budget of its own, with one per second in addition.
+retry_slack = 0.0
+retry_window = "10s"
 `
--- a/request/attempt/headers.go
+++ b/request/attempt/headers.go
@@ -32,6 +32,7 @@
 	HeaderOrder             = "Hyssopsill-Order"      // identity, owner and times of the order key
 	HeaderIdempotent        = "Hyssopsill-Idempotent" // "1": the attempt may run again and is never withdrawn
 	HeaderForce             = "Hyssopsill-Force"      // "1": send also to a failing target, as there is no other
+	HeaderRepeat            = "Hyssopsill-Repeat"     // "1": the request may have reached a target before
 	HeaderNoWait            = "Hyssopsill-No-Wait"    // "1": refuse as busy rather than queue
 	HeaderLong              = "Hyssopsill-Long"       // "1": learned to be long work
 	TrailerLength           = "Hyssopsill-Length"     // body length, bytes
--- a/request/attempt/outcome.go
+++ b/request/attempt/outcome.go
@@ -32,6 +32,7 @@
 	ReasonOrderRunning        Reason = "order-running"
 	ReasonPathFailed          Reason = "path-failed"
 	ReasonTargetFailed        Reason = "target-failed"
+	ReasonRetryBudget         Reason = "retry-budget"   // the gate may not take a further repeat now
 	ReasonTargetFailing       Reason = "target-failing" // the gate saw it fail just now
 	ReasonTargetRefused       Reason = "target-refused" // the target itself did not run the request
 	ReasonTargetCrashed       Reason = "target-crashed"
--- a/request/retry/budget.go
+++ b/request/retry/budget.go
@@ -11,7 +11,8 @@
 	// Window over which the budget is counted, whole seconds. Default 10s.
 	Window time.Duration
 
-	unlimited bool // for tests: no budget
+	// Unlimited grants every retry, as where gates keep the budget.
+	Unlimited bool
 }
 
 func (o Options) withDefaults() Options {
@@ -47,8 +48,8 @@
 	return &Budget{o: o, slots: make([]slot, int(o.Window/time.Second))}
 }
 
-// SetPerSecond changes the retries allowed in addition, as this node's part of
-// what the fleet may send follows the number of nodes.
+// SetPerSecond changes the retries allowed in addition, as a part of what the
+// fleet may send follows the number of those that share it.
 func (b *Budget) SetPerSecond(perSecond float64) { b.o.PerSecond = perSecond }
 
 // First counts a first attempt.
@@ -57,7 +58,7 @@
 // Take claims one retry or hedge, and reports whether the budget allows it.
 func (b *Budget) Take(now time.Time) bool {
 	s := b.at(now)
-	if !b.o.unlimited && b.left(now) < 1 {
+	if !b.o.Unlimited && b.left(now) < 1 {
 		return false
 	}
 	s.extra++
--- a/request/retry/decide.go
+++ b/request/retry/decide.go
@@ -210,7 +210,7 @@
 	switch r {
 	case attempt.ReasonOverload, attempt.ReasonBusy, attempt.ReasonDeadline, attempt.ReasonLeaving, attempt.ReasonNotReady, attempt.ReasonNoTarget,
 		attempt.ReasonIncarnationMismatch, attempt.ReasonPathFailed, attempt.ReasonTargetFailed,
-		attempt.ReasonTargetCrashed, attempt.ReasonTargetRefused, attempt.ReasonTargetFailing, attempt.ReasonWithdrawn, attempt.ReasonNone:
+		attempt.ReasonTargetCrashed, attempt.ReasonTargetRefused, attempt.ReasonTargetFailing, attempt.ReasonRetryBudget, attempt.ReasonWithdrawn, attempt.ReasonNone:
 		return false
 	default:
 		return true
@@ -224,7 +224,7 @@
 		if a.overloaded() {
 			d.ExcludeNodes = append(d.ExcludeNodes, a.Node)
 		}
-		if a.Domain != "" && a.Reason != attempt.ReasonBusy && a.Reason != attempt.ReasonTargetFailing {
+		if a.Domain != "" && a.Reason != attempt.ReasonBusy && a.Reason != attempt.ReasonTargetFailing && a.Reason != attempt.ReasonRetryBudget {
 			d.AvoidDomains = append(d.AvoidDomains, a.Domain)
 		}
 	}
--- a/request/retry/retry_test.go
+++ b/request/retry/retry_test.go
@@ -207,7 +207,7 @@
 		if over := retriesUnder(rt, Options{}); over > 1e-9 {
 			rt.Fatalf("%.1f retries beyond the budget", over)
 		}
-		if retriesUnder(rt, Options{unlimited: true}) > 0 {
+		if retriesUnder(rt, Options{Unlimited: true}) > 0 {
 			beyond++
 		}
 	})
