admission: work waits at one target for 0.4 of its objective at most

Logs show waits of 2 to 5 s that end in a refusal; the estimate of the wait holds only while slots become free. Ruled out: silent connections, the drain.

--- a/connection/admission/gate.go
+++ b/connection/admission/gate.go
@@ -117,6 +117,9 @@
 func (g *Gate) Submit(now time.Time, w Work) Decision {
 	g.last++
 	it := &item{ticket: g.last, work: w, queuedAt: now}
+	if w.Since.IsZero() {
+		it.work.Since = now
+	}
 	t := g.targets[w.Target]
 	switch {
 	case t == nil:
@@ -188,7 +191,18 @@
 // work that arrives by then, and its caller learns at once.
 func (it *item) tooLate(now time.Time, wait time.Duration) bool {
 	objective := it.class.Objective
-	return objective > 0 && wait+it.class.expected(now) > objective
+	return objective > 0 && now.Add(wait+it.class.expected(now)).Sub(it.work.Since) > objective
+}
+
+// queuedShare is the part of its objective that work waits at one target. Where
+// the slots do not become free as expected, as with work that hangs, another
+// target is better.
+const queuedShare = 0.4
+
+// overdue reports that work has waited long enough at this target.
+func (it *item) overdue(now time.Time) bool {
+	objective := it.class.Objective
+	return objective > 0 && float64(now.Sub(it.queuedAt)) > queuedShare*float64(objective)
 }
 
 // refuse refuses waiting work.
@@ -241,7 +255,11 @@
 			if it.refused { // only with the test switch keepDisplaced
 				continue
 			}
-			if reason := g.infeasible(now, t, it, 0); reason != attempt.ReasonNone {
+			reason := g.infeasible(now, t, it, 0)
+			if reason == attempt.ReasonNone && it.overdue(now) && !g.admits(now, t, it.long) {
+				reason = attempt.ReasonOverload
+			}
+			if reason != attempt.ReasonNone {
 				out = append(out, g.refuse(t, it, reason, t.expectedWait(now, it)))
 			}
 		}
--- a/connection/admission/types.go
+++ b/connection/admission/types.go
@@ -92,8 +92,11 @@
 	Class    string // of Target.Classes; an unknown one is short and interactive
 	Customer string
 	Deadline time.Time // zero: none
-	Long     bool      // learned: long although its class is not
-	NoWait   bool      // refuse with ReasonBusy rather than queue: the entry knows of a free slot elsewhere
+	// Since is when the request arrived at the fleet, from which its objective
+	// counts; zero means now.
+	Since  time.Time
+	Long   bool // learned: long although its class is not
+	NoWait bool // refuse with ReasonBusy rather than queue: the entry knows of a free slot elsewhere
 }
 
 // Ticket names a piece of work at this gate.
--- a/process/gate/exchange.go
+++ b/process/gate/exchange.go
@@ -23,6 +23,7 @@
 	w        http.ResponseWriter
 	r        *http.Request
 	arrived  time.Time
+	since    time.Time // arrival at the entry; zero: just now
 	id       attempt.ID
 	idText   string
 	target   string
@@ -188,7 +189,7 @@
 func (x *exchange) admit() bool {
 	x.g.mu.Lock()
 	d := x.g.admission.Submit(x.g.now(), admission.Work{
-		Attempt: x.id, Target: x.target, Class: x.class, Customer: x.customer, Deadline: x.deadline, Long: x.long,
+		Attempt: x.id, Target: x.target, Class: x.class, Customer: x.customer, Deadline: x.deadline, Since: x.since, Long: x.long,
 		NoWait: x.noWait,
 	})
 	x.g.deliver(d.Others)
--- a/process/gate/receive.go
+++ b/process/gate/receive.go
@@ -68,6 +68,13 @@
 	x.force = h.Get(attempt.HeaderForce) == "1"
 	x.noWait = h.Get(attempt.HeaderNoWait) == "1"
 	x.tracked = h.Get(attempt.HeaderIdempotent) != "1"
+	if text := h.Get(attempt.HeaderAgeMS); text != "" {
+		age, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || age < 0 || age > maxTimeout.Milliseconds() {
+			return fmt.Errorf("%s: want 0 to %d, got %q", attempt.HeaderAgeMS, maxTimeout.Milliseconds(), text)
+		}
+		x.since = x.arrived.Add(-time.Duration(age) * time.Millisecond)
+	}
 	if text := h.Get(attempt.HeaderRequestDigest); text != "" {
 		digest, err := strconv.ParseUint(text, 16, 64)
 		if err != nil {
