--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -42,9 +42,9 @@
 	// RetryShare is the share of first attempts that may be sent again. 0: the
 	// default of retry.Options.
 	RetryShare float64
-	// GateBudget tells that gates keep the budget of retries, so that this entry
-	// has none of its own.
-	GateBudget bool
+	// GateJudges tells that gates keep the budget of retries and judge the errors
+	// of their targets, so that this entry does neither.
+	GateJudges bool
 	Platform   eventlog.Log // for the bindings of foreign order keys
 	Record     func(record.Record)
 	// Observe counts an ended request.
@@ -160,7 +160,7 @@
 func (e *Entry) budget(service string) *retry.Budget {
 	b := e.budgets[service]
 	if b == nil {
-		b = retry.NewBudget(retry.Options{Share: e.o.RetryShare, Unlimited: e.o.GateBudget})
+		b = retry.NewBudget(retry.Options{Share: e.o.RetryShare, Unlimited: e.o.GateJudges})
 		e.budgets[service] = b
 	}
 	return b
--- a/process/entry/try.go
+++ b/process/entry/try.go
@@ -122,7 +122,7 @@
 func (t *try) replace(cause error) {
 	q := t.q
 	limit := q.class.MaxAttempts
-	if q.e.o.GateBudget { // whether another attempt is possible, a gate knows; a hedge asks
+	if q.e.o.GateJudges { // whether another attempt is possible, a gate knows; a hedge asks
 		return
 	}
 	if !q.class.Idempotent || t.replaced || (limit > 0 && t.reachedBefore+1 >= limit) {
@@ -308,6 +308,13 @@
 	return r
 }
 
+// judgedByGate reports a fault that the breaker at the gate judges: it sees the
+// errors of its targets sooner and forgets them sooner than the health tracker,
+// which then judges silence, slowness and the path only.
+func (t *try) judgedByGate(fault health.Fault) bool {
+	return t.q.e.o.GateJudges && (fault == health.Error || fault == health.Crash || fault == health.Corrupt)
+}
+
 // pathFailure reports an attempt that ended without an answer of the gate.
 func (t *try) pathFailure(err error) result {
 	r := result{reason: attempt.ReasonPathFailed, detail: err.Error(), never: roundtrip.NothingSent(err)}
@@ -353,7 +360,7 @@
 	e := t.q.e
 	now := e.now()
 	ev := t.evidence(r.fault, r.took)
-	if r.verdict == "" && r.fault == health.NoFault { // this side ended it
+	if (r.verdict == "" && r.fault == health.NoFault) || t.judgedByGate(r.fault) { // this side ended it, or no evidence
 		ev.Kind = health.Abandoned
 	}
 	e.mu.Lock()
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -139,7 +139,7 @@
 	})
 	n.entry = entry.New(entry.Options{
 		Node: s.Node, Region: s.Region, Domain: s.Domain, Token: s.FleetToken, LogRetention: s.LogRetention,
-		Surface: n.o.Surface, HostService: n.o.HostService, RetryShare: s.Defaults.RetryShare, GateBudget: s.Defaults.RetrySlack > 0,
+		Surface: n.o.Surface, HostService: n.o.HostService, RetryShare: s.Defaults.RetryShare, GateJudges: s.Defaults.RetrySlack > 0,
 		HeaderBytes: int64(s.Limits.HeaderBytes), BodyBytes: s.Limits.BodyBytes,
 		Now: n.now, Rand: newRand(), Log: n.log, Reporter: n.metrics.Invariants, Platform: n.o.Platform,
 		Record: n.exporter.Record, Observe: n.metrics.ObserveRequest, Quarantined: n.gate.Quarantined,
