--- a/process/node/listen.go
+++ b/process/node/listen.go
@@ -17,6 +17,7 @@
 // listeners of a node. They stay open while services restart.
 type listeners struct {
 	caller, peerData, peerControl, announce, admin net.Listener
+	metrics                                        net.Listener // nil without an address
 }
 
 func (l *listeners) open(s settings.Settings) error {
@@ -29,7 +30,11 @@
 		{"peer_control", s.Listen.PeerControl, &l.peerControl},
 		{"announce", s.Listen.Announce, &l.announce},
 		{"admin", s.Listen.Admin, &l.admin},
+		{"metrics", s.Listen.Metrics, &l.metrics},
 	} {
+		if x.address == "" && x.name == "metrics" {
+			continue
+		}
 		listener, err := net.Listen("tcp", x.address)
 		if err != nil {
 			l.close()
@@ -41,7 +46,7 @@
 }
 
 func (l *listeners) close() {
-	for _, x := range []net.Listener{l.caller, l.peerData, l.peerControl, l.announce, l.admin} {
+	for _, x := range []net.Listener{l.caller, l.peerData, l.peerControl, l.announce, l.admin, l.metrics} {
 		if x != nil {
 			_ = x.Close() // already closed by its server
 		}
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -176,6 +176,9 @@
 	n.servers.peerData = newHTTPService("peer_data", n.listeners.peerData, n.gate.PeerHandler(), limits, n.log)
 	n.servers.announce = newHTTPService("announce", n.listeners.announce, n.o.Announce(n.gate), limits, n.log)
 	n.servers.admin = newHTTPService("admin", n.listeners.admin, n.adminHandler(), limits, n.log)
+	if n.listeners.metrics != nil {
+		n.supervisor.Add(newHTTPService("metrics", n.listeners.metrics, n.metrics.Handler(), limits, n.log))
+	}
 	for _, s := range n.servers.all() {
 		n.supervisor.Add(s)
 	}
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -93,6 +93,7 @@
 	PeerControl string `toml:"peer_control"`
 	Announce    string `toml:"announce"`
 	Admin       string `toml:"admin"`
+	Metrics     string `toml:"metrics"` // metrics alone; empty: on Admin only
 }
 
 // Advertise holds the addresses under which other nodes reach this one. Empty
@@ -232,7 +233,11 @@
 		{"listen.peer_control", s.Listen.PeerControl},
 		{"listen.announce", s.Listen.Announce},
 		{"listen.admin", s.Listen.Admin},
+		{"listen.metrics", s.Listen.Metrics},
 	} {
+		if l.key == "listen.metrics" && l.address == "" {
+			continue
+		}
 		if !checkAddress(doc, l.key, l.address, true) {
 			continue
 		}
--- a/process/settings/template.go
+++ b/process/settings/template.go
@@ -47,6 +47,8 @@
 announce = "127.0.0.1:7403"
 # Health, metrics and explanations.
 admin = "127.0.0.1:7404"
+# Metrics alone, for a collector; empty: on the admin listener only.
+metrics = ""
 
 [advertise]
 # Addresses under which other nodes reach this one; empty means the listener's address.
