--- a/process/entry/size.go
+++ b/process/entry/size.go
@@ -6,10 +6,10 @@
 	// sizeUnit is the number of bytes, request and answer together, at which the
 	// distance to another failure domain counts as the selector's options say.
 	// Traffic between failure domains is billed by the byte.
-	sizeUnit = 20 << 10
+	sizeUnit = 10 << 10
 	// distanceLeast keeps a preference for the own failure domain for small
 	// exchanges, whose round trip is shorter there.
-	distanceLeast = 0.2
+	distanceLeast = 0.4
 )
 
 // noteSize takes the size of an exchange in bytes. e.mu is held.
