--- a/process/entry/await.go
+++ b/process/entry/await.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/hyssopsill/hyssopsill/request/attempt"
@@ -75,6 +76,10 @@
 // awaitStart waits until this node serves: it has a configuration and has joined
 // the others.
 func (q *request) awaitStart() (attempt.Reason, string) {
+	limit := awaitMost
+	if ms, err := strconv.ParseInt(q.r.Header.Get(q.e.o.Surface.Timeout), 10, 64); err == nil {
+		limit = min(limit, time.Duration(ms)*time.Millisecond/2) // the rest is for the work
+	}
 	for {
 		reason, why := attempt.ReasonNone, ""
 		switch {
@@ -83,7 +88,7 @@
 		case q.routing == nil:
 			reason, why = attempt.ReasonNotReady, "this node has no configuration yet"
 		}
-		if reason == attempt.ReasonNone || !q.e.o.Surface.StrictStatus || q.e.now().Sub(q.start) > awaitMost {
+		if reason == attempt.ReasonNone || !q.e.o.Surface.StrictStatus || q.e.now().Sub(q.start) > limit {
 			return reason, why
 		}
 		if !pause(q.r.Context(), awaitPoll) {
--- a/process/gate/repeat.go
+++ b/process/gate/repeat.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/hyssopsill/hyssopsill/request/attempt"
@@ -53,7 +52,7 @@
 	}
 	g.mu.Unlock()
 	if !allowed {
-		x.refuse(attempt.VerdictRefused, attempt.ReasonRetryBudget, http.StatusText(http.StatusTooManyRequests), 0)
+		x.refuse(attempt.VerdictRefused, attempt.ReasonRetryBudget, "the budget of repeats of the service is used up", 0)
 	}
 	return allowed
 }
