retry: hedges after a gate's refusal, and free retries, only where tries are counted apart

Cause: TestDetectionBound failed (hang 3.75 s, slow 7.05 s, some callers 4.95 s; bound 3 s) since a hedge after a busy gate ends the attempt at a slow target before it is evidence. The project's own surface keeps its rules; the platform's, where tries and attempts are counted apart, is unchanged.

--- a/request/retry/decide.go
+++ b/request/retry/decide.go
@@ -138,7 +138,7 @@
 	switch {
 	case !p.Hedge || !p.Idempotent || p.Long:
 		return wait("in progress; this work is not hedged")
-	case countReached(history) > 1:
+	case countReached(history) > 1 || (len(history) > 1 && p.MaxTries == 0):
 		return wait("in progress; only a sole first attempt is hedged")
 	case countReached(history) >= p.MaxAttempts:
 		return wait("in progress; no attempts left")
@@ -197,7 +197,8 @@
 	}
 	// An attempt that reached no target costs targets nothing. Overload is the
 	// exception: another gate is likely to be as busy.
-	if !p.Prepaid && (last.Reached() || (last.overloaded() && p.MaxTries == 0)) && !b.Take(now) {
+	free := last.Reason == attempt.ReasonBusy || (p.MaxTries > 0 && !last.Reached())
+	if !p.Prepaid && !free && !b.Take(now) {
 		return stop("retry budget exhausted")
 	}
 	d := where(history)
