demo: only requests written to a connection can be cut by a drain

The demo counted a request as in progress from the moment its goroutine began; on a busy machine it dialled seconds later, when the drained node had ended. Ruled out: the node cutting a request that it had read, but for one EOF of a connection that may not have been accepted.

The ledger now marks requests from WroteRequest on.

--- a/cmd/hyssopsill/demo.go
+++ b/cmd/hyssopsill/demo.go
@@ -46,7 +46,7 @@
 		file, ok := a.stdout.(*os.File)
 		o.Terminal = ok && term.IsTerminal(int(file.Fd()))
 	}
-	summary, err := demo.Run(ctx, o)
+	summary, err := a.runDemo(ctx, o)
 	if err != nil {
 		return err
 	}
--- a/cmd/hyssopsill/root.go
+++ b/cmd/hyssopsill/root.go
@@ -12,6 +12,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/hyssopsill/hyssopsill/demo"
 	"github.com/hyssopsill/hyssopsill/eventlog"
 	"github.com/hyssopsill/hyssopsill/finding"
 	"github.com/hyssopsill/hyssopsill/platform"
@@ -36,6 +37,7 @@
 	stdin          io.Reader
 	stdout, stderr io.Writer
 	now            func() time.Time
+	runDemo        func(context.Context, demo.Options) (demo.Summary, error)
 }
 
 // commands lists the commands in the order of the help text. A command that is
@@ -46,7 +48,7 @@
 
 // run executes one command line and returns the exit code.
 func run(ctx context.Context, args []string, stdin io.Reader, stdout, stderr io.Writer) int {
-	return (&app{stdin: stdin, stdout: stdout, stderr: stderr, now: time.Now}).run(ctx, args)
+	return (&app{stdin: stdin, stdout: stdout, stderr: stderr, now: time.Now, runDemo: demo.Run}).run(ctx, args)
 }
 
 func (a *app) run(ctx context.Context, args []string) int {
--- a/demo/customer.go
+++ b/demo/customer.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"time"
@@ -52,6 +53,7 @@
 	key     string // of an order
 	target  string // that answered
 	broken  bool   // connection lost or answer not whole
+	cause   error  // why it is broken
 	wrong   string // how an answered body differs from what was asked for
 }
 
@@ -100,26 +102,30 @@
 }
 
 // send sends the call to a node and checks the answer.
-func (c call) send(ctx context.Context, client *http.Client, n *fleetNode) result {
+func (c call) send(ctx context.Context, client *http.Client, l *ledger, n *fleetNode) result {
 	r := result{kind: c.kind, node: n.name, begun: time.Now(), key: c.key}
 	ctx, cancel := context.WithTimeout(ctx, deadlines[c.kind]+customerSlack)
 	defer cancel()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteRequest: func(w httptrace.WroteRequestInfo) { l.sent(c.number, w.Err == nil) },
+	})
+	defer l.sent(c.number, false)
 	defer func() { r.took = time.Since(r.begun) }()
 	req, err := c.request(ctx, n.addresses.Caller)
 	if err != nil {
-		r.broken = true
+		r.broken, r.cause = true, err
 		return r
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		r.broken = !errors.Is(err, context.DeadlineExceeded)
+		r.broken, r.cause = !errors.Is(err, context.DeadlineExceeded), err
 		return r
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
 	r.outcome = attempt.Outcome(resp.Header.Get(attempt.HeaderOutcome))
 	if err != nil {
-		r.broken = !errors.Is(err, context.DeadlineExceeded)
+		r.broken, r.cause = !errors.Is(err, context.DeadlineExceeded), err
 		return r
 	}
 	if resp.Header.Get("Content-Type") == attempt.ProblemContentType {
--- a/demo/ledger.go
+++ b/demo/ledger.go
@@ -35,7 +35,11 @@
 	other    bool // any answer but a proof that it did not run
 }
 
+// runningCall is a request in progress. Before it is written to a connection no
+// node knows it: on a busy machine that takes seconds, in which a draining node
+// ends.
 type runningCall struct {
+	written     bool
 	duringDrain bool
 }
 
@@ -85,6 +89,15 @@
 	return l.phase
 }
 
+// sent notes whether a request is written to a connection and not answered yet.
+func (l *ledger) sent(number int64, written bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c := l.running[number]; c != nil {
+		c.written = written
+	}
+}
+
 // answer notes one answer about an order.
 func (l *ledger) answer(work string, r result) {
 	l.mu.Lock()
@@ -110,20 +123,23 @@
 		l.check(invariant.OwnAnswer, r.wrong == "", "%s", r.wrong)
 	}
 	if l.running[number].duringDrain {
-		l.check(invariant.NoCut, !r.broken, "%s request %d at node %s was cut after %s while a node drained", r.kind, number, r.node, r.took)
+		l.check(invariant.NoCut, !r.broken, "%s request %d at node %s was cut after %s while a node drained: %v", r.kind, number, r.node, r.took, r.cause)
 	}
 	delete(l.running, number)
 	l.results = append(l.results, phaseResult{phase, r})
 }
 
-// drainBegins marks the requests in progress, none of which may be cut.
+// drainBegins marks the written requests in progress, none of which may be cut.
 func (l *ledger) drainBegins() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	written := 0
 	for _, c := range l.running {
-		c.duringDrain = true
+		if c.duringDrain = c.written; c.written {
+			written++
+		}
 	}
-	return len(l.running)
+	return written
 }
 
 func (l *ledger) inProgress() int {
--- a/demo/ledger_test.go
+++ b/demo/ledger_test.go
@@ -75,3 +75,28 @@
 	_, _ = d.Write([]byte("order " + c.echo()))
 	return d.Sum()
 }
+
+// Guards against requests that count as cut although no node knew them when the
+// drain began, and against cuts of those that a node knew.
+func TestOnlyWrittenRequestsCanBeCut(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		written  []bool
+		violated int64
+	}{
+		{"not written yet", nil, 0},
+		{"written", []bool{true}, 1},
+		{"answered, to be sent again", []bool{true, false}, 0},
+	} {
+		l := newLedger()
+		phase := l.begin(1)
+		for _, written := range c.written {
+			l.sent(1, written)
+		}
+		l.drainBegins()
+		l.end(1, phase, result{broken: true})
+		if got := l.checks[invariant.NoCut].Violations; got != c.violated {
+			t.Errorf("%s: %d violations, want %d", c.name, got, c.violated)
+		}
+	}
+}
--- a/demo/load.go
+++ b/demo/load.go
@@ -104,7 +104,7 @@
 	if c.kind == order {
 		r = l.order(ctx, c, n)
 	} else {
-		r = c.send(ctx, l.client, n)
+		r = c.send(ctx, l.client, l.ledger, n)
 	}
 	r.begun, r.took = begun, time.Since(begun)
 	l.ledger.end(c.number, phase, r)
@@ -128,7 +128,7 @@
 		c.work, sends = work, 1
 	}
 	for i := 1; ; i++ {
-		r := c.send(ctx, l.client, n)
+		r := c.send(ctx, l.client, l.ledger, n)
 		l.ledger.answer(work, r)
 		if i == sends || !r.broken && r.outcome != attempt.Unknown {
 			return r
--- a/demo/options.go
+++ b/demo/options.go
@@ -23,6 +23,8 @@
 	// DoubleOrder makes one target run one order twice, to show that the
 	// checks find it.
 	DoubleOrder bool
+	// Limit bounds the whole run without its stop. Default 28s.
+	Limit time.Duration
 	// DrainWait bounds the wait for the drained node. Default 5s.
 	DrainWait time.Duration
 }
@@ -37,6 +39,9 @@
 	if o.DrainWait <= 0 {
 		o.DrainWait = 5 * time.Second
 	}
+	if o.Limit <= 0 {
+		o.Limit = runLimit
+	}
 	if o.Out == nil {
 		o.Out = io.Discard
 	}
@@ -62,7 +67,7 @@
 	configWait = 5 * time.Second
 	finishWait = 3 * time.Second
 	runLimit   = 28 * time.Second // the stop takes about another second
-	stopLimit  = 29500 * time.Millisecond
+	stopWait   = 1500 * time.Millisecond
 
 	leavingAfter = 3 * time.Second // a leaving target gets no new work after this
 )
