gate: a slow death is attributed, and a repeat waits for the fate of its target

Cause of TestPoisonousRequestIsQuarantined beside load: the gate looked 40 ms whether a target that broke a connection still accepts others. A process that dies more slowly was not taken for crashed, so that its crash counted against no request, and one request after another went on to two more targets.

The gate now watches such a target for 1.3 s more in the background. An exchange that repeats a request, which may take down its second target, waits for that answer itself.

--- a/process/gate/exchange.go
+++ b/process/gate/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"strconv"
 	"syscall"
@@ -46,6 +45,7 @@
 	ok       bool // the target gave a whole answer
 	well     bool // and not an error, whose time would mislead estimates
 	trial    bool // of a failing target
+	repeat   bool // the request may have reached a target before
 	failing  bool // the target began to fail while the request waited
 	judged   bool // the breaker knows the outcome
 	result   order.Result
@@ -58,10 +58,6 @@
 	// orderGrace is the time beyond its deadline that a running order may take
 	// to finish, so that its answer is stored for a repeat.
 	orderGrace = 30 * time.Second
-	// crashDial is the time to find out whether a target still accepts
-	// connections.
-	crashDial = 200 * time.Millisecond
-	crashWait = 20 * time.Millisecond
 )
 
 func (x *exchange) serve() {
@@ -388,52 +384,6 @@
 	}
 }
 
-func (x *exchange) markDown() {
-	x.g.mu.Lock()
-	var changes []poison.Change
-	down := false
-	if t := x.g.targets[x.target]; t != nil && !t.down {
-		changes, down = x.g.targetDown(x.g.now(), t), true
-	}
-	x.g.mu.Unlock()
-	x.g.poisonChanged(changes)
-	if down {
-		x.g.log.Warn().Msgf("gate: target %s refuses connections", x.target)
-		x.g.o.Changed()
-	}
-}
-
-// connectionBroke notes a broken connection and reports whether the target is
-// known to have gone down. When it is not, a later announcement of a new
-// incarnation tells.
-func (x *exchange) connectionBroke(address string) bool {
-	x.g.mu.Lock()
-	gone := x.t.crashes != x.crashes
-	if !gone {
-		x.t.addBroken(x.g.now(), x.digest)
-	}
-	x.g.mu.Unlock()
-	if gone {
-		return true
-	}
-	// A process that is ending may accept one more connection.
-	for range 2 {
-		conn, err := net.DialTimeout("tcp", address, crashDial)
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			x.markDown()
-			return true
-		}
-		if err != nil {
-			return false
-		}
-		_ = conn.Close()
-		time.Sleep(crashWait)
-	}
-	x.g.mu.Lock()
-	defer x.g.mu.Unlock()
-	return x.t.crashes != x.crashes
-}
-
 // refuse answers an attempt without an answer of the target.
 func (x *exchange) refuse(v attempt.Verdict, reason attempt.Reason, detail string, retryAfter time.Duration) {
 	if v == attempt.VerdictFailed || v == attempt.VerdictCrashed {
--- a/process/gate/receive.go
+++ b/process/gate/receive.go
@@ -67,6 +67,7 @@
 	x.long = h.Get(attempt.HeaderLong) == "1"
 	x.force = h.Get(attempt.HeaderForce) == "1"
 	x.noWait = h.Get(attempt.HeaderNoWait) == "1"
+	x.repeat = h.Get(attempt.HeaderRepeat) == "1"
 	x.tracked = h.Get(attempt.HeaderIdempotent) != "1"
 	if text := h.Get(attempt.HeaderAgeMS); text != "" {
 		age, err := strconv.ParseInt(text, 10, 64)
--- a/process/gate/repeat.go
+++ b/process/gate/repeat.go
@@ -38,13 +38,12 @@
 	if g.o.RetrySlack <= 0 {
 		return true
 	}
-	repeat := x.r.Header.Get(attempt.HeaderRepeat) == "1"
 	g.mu.Lock()
 	t := g.targets[x.target]
 	allowed := true
 	if t != nil {
 		now, b := g.now(), g.repeatBudget(t.Service)
-		if repeat {
+		if x.repeat {
 			allowed = b.Take(now)
 		} else {
 			b.First(now)
--- a/process/gate/repeat_test.go
+++ b/process/gate/repeat_test.go
@@ -22,10 +22,7 @@
 // exchangeAt returns an exchange of the target t1 that repeats a request or not.
 func exchangeAt(g *Gate, repeat bool) *exchange {
 	r := httptest.NewRequestWithContext(context.Background(), http.MethodGet, "/", nil)
-	if repeat {
-		r.Header.Set(attempt.HeaderRepeat, "1")
-	}
-	return &exchange{g: g, w: httptest.NewRecorder(), r: r, target: "t1", idText: "x"}
+	return &exchange{g: g, w: httptest.NewRecorder(), r: r, target: "t1", idText: "x", repeat: repeat}
 }
 
 func newBudgetGate(t *testing.T, c *clock) *Gate {
--- a/process/gate/targets.go
+++ b/process/gate/targets.go
@@ -29,6 +29,7 @@
 	crashes   int  // times it went down
 	inFlight  map[*exchange]struct{}
 	broken    []brokenExchange // exchanges whose connection broke lately
+	watched   bool             // whether it goes down
 
 	sequence int64 // of the last announcement
 	breaker  *breaker.Breaker
