node: requests that still wait are answered before the end of a drain

The attempt was at a node that had gone; on the platform an entry does not end such an attempt by itself, since silence is no reason to.

Answers being delivered go on. A repeated SIGTERM starts the limit again.

--- a/cmd/hyssopsilld/main.go
+++ b/cmd/hyssopsilld/main.go
@@ -144,7 +144,8 @@
 				logger.Error().Msg("node: second signal, stopping at once")
 				os.Exit(exitKilled)
 			}
-			logger.Info().Str("signal", s.String()).Msg("node: repeated signal, the drain goes on")
+			logger.Info().Str("signal", s.String()).Msg("node: repeated signal, the time limit of the drain begins again")
+			n.ExtendDrain()
 		}
 	}()
 	go watchReload(ctx, c.String("settings"), s, logger)
--- a/process/entry/deliver.go
+++ b/process/entry/deliver.go
@@ -24,6 +24,7 @@
 // wrong.
 func (q *request) deliver(r *result) {
 	defer r.t.cancel(nil)
+	q.keep()
 	q.rec.Outcome, q.rec.Status = attempt.Answered, r.status
 	defer gate.Unhold(r.held)
 	if r.stream {
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"math/rand/v2"
@@ -72,6 +73,8 @@
 	sequence atomic.Uint64
 	active   atomic.Int64
 	closing  atomic.Bool
+	ending   context.Context // ended by EndRequests
+	end      context.CancelCauseFunc
 
 	mu       sync.Mutex
 	rand     *rand.Rand
@@ -134,6 +137,7 @@
 		failing:  map[string]time.Time{},
 	}
 	e.bindings = newBindings(e, order.Owner{Node: o.Node})
+	e.ending, e.end = context.WithCancelCause(context.Background())
 	e.fleet.Store(newFleet(membership.View{}))
 	e.health.SetEntries(o.Node, 1)
 	return e
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -63,6 +63,11 @@
 
 // newTestEntry returns an entry whose targets are all at one fake gate.
 func newTestEntry(t *testing.T, gateHandler http.HandlerFunc, noVerify bool, targets int) *httptest.Server {
+	t.Helper()
+	return newTestEntryWith(t, testConfig, gateHandler, noVerify, targets)
+}
+
+func newTestEntryWith(t *testing.T, configText string, gateHandler http.HandlerFunc, noVerify bool, targets int) *httptest.Server {
 	t.Helper()
 	fake := httptest.NewServer(gateHandler)
 	t.Cleanup(fake.Close)
@@ -76,7 +81,7 @@
 		HeaderBytes: 32 << 10, BodyBytes: 1 << 20, Now: time.Now, Rand: r, Log: zerolog.Nop(), Reporter: reporter,
 		Platform: logservice.New(logservice.Options{}), noVerify: noVerify,
 	})
-	c, findings := config.Parse("test.toml", []byte(testConfig))
+	c, findings := config.Parse("test.toml", []byte(configText))
 	if len(findings) > 0 {
 		t.Fatal(findings)
 	}
@@ -317,3 +322,42 @@
 		t.Errorf("another customer: got %s", resp.Status)
 	}
 }
+
+// Guards against requests that a node which ends cuts or lets wait for ever,
+// because their gate never answers, and against a wrong word about them.
+func TestRequestsAreAnsweredWhenTheNodeEnds(t *testing.T) {
+	arrived := make(chan struct{}, 2)
+	s := newTestEntryWith(t, strings.ReplaceAll(testConfig, `"500ms"`, `"10m"`), func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/kits" && r.URL.Path != "/orders" {
+			return
+		}
+		arrived <- struct{}{}
+		<-r.Context().Done()
+	}, false, 1)
+	answers := make(chan *http.Response, 2)
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		go func() {
+			path := map[string]string{http.MethodGet: "/kits", http.MethodPost: "/orders"}[method]
+			req, _ := http.NewRequest(method, s.URL+path, http.NoBody)
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				t.Errorf("%s: %v", path, err)
+			}
+			answers <- resp
+		}()
+	}
+	<-arrived
+	<-arrived
+	s.Config.Handler.(*Entry).EndRequests()
+	for range 2 {
+		resp := <-answers
+		if resp == nil {
+			continue
+		}
+		body, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if err != nil || resp.Header.Get(attempt.HeaderOutcome) != string(attempt.Unknown) || !strings.Contains(string(body), string(attempt.ReasonStopping)) {
+			t.Errorf("%s: %d %s %s %v", resp.Request.URL.Path, resp.StatusCode, resp.Header.Get(attempt.HeaderOutcome), body, err)
+		}
+	}
+}
--- a/process/entry/request.go
+++ b/process/entry/request.go
@@ -50,7 +50,8 @@
 	digest  poison.Digest
 	skip    func(string) bool
 	history []attemptState
-	prepaid bool // the budget was taken for the next attempt
+	prepaid bool        // the budget was taken for the next attempt
+	keep    func() bool // lets the request go on when the others are ended
 }
 
 // upload is the part of a body that is passed on while it arrives.
--- a/process/entry/run.go
+++ b/process/entry/run.go
@@ -17,6 +17,10 @@
 	q.digest = poison.DigestOf(q.service, q.r.Method, q.r.URL.Path, q.r.URL.RawQuery, q.body)
 	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	q.keep = context.AfterFunc(q.e.ending, func() { end(errStopping) })
+	defer q.keep()
 	if q.e.o.Quarantined(q.digest) {
 		q.refuse(attempt.NotRun, attempt.ReasonQuarantined, "two targets crashed while this request ran", 0)
 		return
@@ -350,8 +354,11 @@
 	if reason == attempt.ReasonNone {
 		reason = attempt.ReasonPathFailed
 	}
-	if q.r.Context().Err() != nil {
+	switch {
+	case q.r.Context().Err() != nil:
 		detail = "the caller closed its connection"
+	case q.e.ending.Err() != nil:
+		reason, detail = attempt.ReasonStopping, errStopping.Error()
 	}
 	q.refuse(outcome, reason, detail, a.retryAfter)
 }
--- a/process/node/drain.go
+++ b/process/node/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/hyssopsill/hyssopsill/request/invariant"
@@ -36,12 +37,10 @@
 	n.entry.Drain()
 	n.gate.Leave()
 	n.fleet.leave()
-	ctx := context.Background()
-	if limit := n.o.Settings.DrainTimeout; limit > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, limit)
-		defer cancel()
-	}
+	ctx, cut := context.WithCancel(context.Background())
+	defer cut()
+	n.drainLimit.begin(n.o.Settings.DrainTimeout, n.endRequests, cut)
+	defer n.drainLimit.stop()
 	select {
 	case <-time.After(n.o.Settings.DrainNotice):
 	case <-ctx.Done():
@@ -53,6 +52,54 @@
 	n.log.Info().Msgf("node: drained in %s", n.now().Sub(begun).Round(time.Millisecond))
 }
 
+// endRequests answers what still waits for a target, shortly before the process
+// is killed or ends by itself.
+func (n *Node) endRequests() {
+	n.log.Warn().Msgf("node: the drain is nearly over, %d requests at the entry are answered without their targets", n.entry.Active())
+	n.entry.EndRequests()
+}
+
+// ExtendDrain lets the time limit of a running drain begin again.
+func (n *Node) ExtendDrain() { n.drainLimit.begin(n.o.Settings.DrainTimeout, nil, nil) }
+
+// answerShare is the part of the drain's time limit after which requests that
+// still wait are answered. The platform excuses requests whose target works in
+// the last sixth of the time, and no earlier.
+const answerShare = 0.9
+
+// drainLimit is the time limit of a drain. The zero value has none.
+type drainLimit struct {
+	mu          sync.Mutex
+	answer, cut *time.Timer
+}
+
+// begin starts the time limit, or starts a running one again. A limit of 0 never
+// ends.
+func (l *drainLimit) begin(limit time.Duration, answer, cut func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before := time.Duration(answerShare * float64(limit))
+	switch {
+	case limit <= 0:
+	case l.answer != nil:
+		if l.answer.Stop() && l.cut.Stop() { // else the requests are being answered
+			l.answer.Reset(before)
+			l.cut.Reset(limit)
+		}
+	case answer != nil:
+		l.answer, l.cut = time.AfterFunc(before, answer), time.AfterFunc(limit, cut)
+	}
+}
+
+func (l *drainLimit) stop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.answer != nil {
+		l.answer.Stop()
+		l.cut.Stop()
+	}
+}
+
 // shutdown waits for the running requests of a server. Those that remain when
 // ctx ends are cut, counted and logged.
 func (n *Node) shutdown(ctx context.Context, s *httpService) {
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -75,6 +75,7 @@
 	servers    servers
 	supervisor *suture.Supervisor
 	draining   atomic.Bool
+	drainLimit drainLimit
 }
 
 // New binds the listeners of a node. Serve must be called to run it.
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -48,7 +48,8 @@
 	// Seeds are control addresses of other nodes. The log's stream of nodes
 	// adds to them.
 	Seeds []string `toml:"seeds"`
-	// DrainTimeout bounds the wait for running requests on SIGTERM; 0 waits
+	// DrainTimeout bounds the wait for running requests on SIGTERM. Those that
+	// wait for a target in its last tenth are answered without; 0 waits
 	// without bound. Requests beyond it are cut.
 	DrainTimeout time.Duration `toml:"drain_timeout"`
 	// DrainNotice is the time during which a draining node still takes new
--- a/request/attempt/outcome.go
+++ b/request/attempt/outcome.go
@@ -41,6 +41,7 @@
 	ReasonNotReady            Reason = "not-ready"
 	ReasonUnauthorized        Reason = "unauthorized"
 	ReasonIncarnationMismatch Reason = "incarnation-mismatch"
+	ReasonStopping            Reason = "node-stopping" // the node of the entry ends before the answer came
 )
 
 // Verdict is what a gate reports about one attempt.
--- a/request/record/sentence.go
+++ b/request/record/sentence.go
@@ -203,6 +203,7 @@
 	attempt.ReasonWithdrawn:           "the attempt was withdrawn",
 	attempt.ReasonNotReady:            "the node was not ready",
 	attempt.ReasonUnauthorized:        "the fleet token did not match",
+	attempt.ReasonStopping:            "the node of the entry ended before the answer came",
 	attempt.ReasonIncarnationMismatch: "the node or target had restarted since it was chosen",
 }
 
