entry: an order with a key passes failing targets of its gate

Cause: a gate's refusal with target-failing did not count as one that another target of the gate need not repeat, and an order that met only failing targets was not forced, so that it ended as not-run. The test failed first in all three cases.

--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -361,3 +362,75 @@
 		}
 	}
 }
+
+// refuseAttempt refuses an attempt as a gate does.
+func refuseAttempt(w http.ResponseWriter, r *http.Request, reason attempt.Reason) {
+	h := w.Header()
+	h.Set(attempt.HeaderAttempt, r.Header.Get(attempt.HeaderAttempt))
+	h.Set(attempt.HeaderVerdict, string(attempt.VerdictRefused))
+	h.Set(attempt.HeaderReason, string(reason))
+	attempt.NewProblem("r", attempt.NotRun, reason, "", 0).Write(w)
+}
+
+// Guards against an order with a key that ends unserved because the gate of its
+// key calls a target failing: another target of the gate serves it, or the
+// failing one when there is no other.
+func TestKeyedOrderPassesFailingTargets(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		targets int
+		failing map[string]bool
+		forced  bool
+	}{
+		{"another target of the gate", 2, map[string]bool{"t0": true}, false},
+		{"no other target", 1, map[string]bool{"t0": true}, true},
+		{"all fail", 2, map[string]bool{"t0": true, "t1": true}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var forced, served atomic.Int32
+			s := newTestEntryWith(t, strings.ReplaceAll(testConfig, `"500ms"`, `"10m"`), func(w http.ResponseWriter, r *http.Request) {
+				force := r.Header.Get(attempt.HeaderForce) == "1"
+				if c.failing[r.Header.Get(attempt.HeaderTarget)] && !force {
+					refuseAttempt(w, r, attempt.ReasonTargetFailing)
+					return
+				}
+				if force {
+					forced.Add(1)
+				}
+				served.Add(1)
+				gateAnswer(w, r.Header.Get(attempt.HeaderAttempt), "ok", "ok")
+			}, false, c.targets)
+			for range 6 { // targets are drawn
+				req, _ := http.NewRequest(http.MethodPost, s.URL+"/orders", http.NoBody)
+				req.Header.Set(attempt.HeaderIdempotencyKey, issuedKey(t, s))
+				resp, err := http.DefaultClient.Do(req)
+				if err != nil {
+					t.Fatal(err)
+				}
+				body, _ := io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
+				if resp.StatusCode != http.StatusOK {
+					t.Errorf("%d %s", resp.StatusCode, body)
+				}
+			}
+			if served.Load() != 6 || (forced.Load() > 0) != c.forced {
+				t.Errorf("%d attempts served, %d forced", served.Load(), forced.Load())
+			}
+		})
+	}
+}
+
+// issuedKey asks the entry for an order key.
+func issuedKey(t *testing.T, s *httptest.Server) string {
+	t.Helper()
+	resp, err := http.Post(s.URL+orderKeysPath+"?service=shop", "", http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var key IssuedKey
+	if err := json.NewDecoder(resp.Body).Decode(&key); err != nil {
+		t.Fatal(err)
+	}
+	return key.Key
+}
--- a/process/entry/keyed.go
+++ b/process/entry/keyed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 
 	"github.com/hyssopsill/hyssopsill/connection/health"
 	"github.com/hyssopsill/hyssopsill/request/attempt"
@@ -14,9 +15,15 @@
 // key, so the order can be sent there again after a broken connection.
 func (q *request) runKeyed(ctx context.Context) {
 	inDoubt := false // an attempt without an answer of the gate may still arrive there
-	var exclude []string
+	var exclude, failing []string
 	for number := 1; ; number++ {
 		l, ok, why := q.ownerTarget(exclude)
+		force := !ok && len(failing) > 0
+		if force { // all others fail too: the order has nothing to lose
+			exclude = slices.DeleteFunc(exclude, func(key string) bool { return slices.Contains(failing, key) })
+			l, ok, why = q.ownerTarget(exclude)
+			failing = nil
+		}
 		if !ok {
 			outcome := attempt.Unknown
 			if len(q.history) > 0 && !inDoubt {
@@ -26,6 +33,7 @@
 			return
 		}
 		t := q.begin(ctx, number, l, false, "the gate that owns the order key", nil)
+		t.force = force
 		r := t.do()
 		q.note(&r)
 		if r.resp != nil {
@@ -35,12 +43,15 @@
 		t.cancel(nil)
 		silent := r.verdict == ""
 		inDoubt = inDoubt || (silent && !r.never)
-		more := number < maxKeyedAttempts && ctx.Err() == nil && q.replayable()
+		more := number < maxKeyedAttempts+len(exclude) && ctx.Err() == nil && q.replayable()
 		switch {
 		case silent && more && !errors.Is(context.Cause(ctx), context.Canceled):
 			q.last().record.Next = "the same gate, which knows the order key"
 		case r.verdict.NeverStarted() && more && movable(r.reason):
 			exclude = append(exclude, l.key)
+			if r.reason == attempt.ReasonTargetFailing && !force {
+				failing = append(failing, l.key)
+			}
 			q.last().record.Next = "another target of the same gate"
 		default:
 			outcome := attempt.Unknown
@@ -73,7 +84,8 @@
 // repeat.
 func movable(r attempt.Reason) bool {
 	switch r {
-	case attempt.ReasonLeaving, attempt.ReasonNoTarget, attempt.ReasonTargetCrashed, attempt.ReasonTargetFailed, attempt.ReasonOverload:
+	case attempt.ReasonLeaving, attempt.ReasonNoTarget, attempt.ReasonTargetCrashed, attempt.ReasonTargetFailed,
+		attempt.ReasonTargetFailing, attempt.ReasonOverload:
 		return true
 	}
 	return false
