telemetry: log lines are decision records; explain reads saved logs

Log lines, decision records and explain had two sets of names: the entry wrote lines of its own about requests, and changes of belief were sentences. A line now holds the record itself, whichever part made it. Requests that were refused, failed, came late or took several attempts, and changes of belief, have budgets of their own; plain successes are sampled; what is left out is counted in the next line and in the metrics. Late answers of one attempt had no line before. Lines go through a buffer that never blocks (zerolog/diode).

--- a/cmd/hyssopsill/explain.go
+++ b/cmd/hyssopsill/explain.go
@@ -9,14 +9,15 @@
 
 	"github.com/hyssopsill/hyssopsill/process/telemetry"
 	"github.com/hyssopsill/hyssopsill/request/attempt"
+	"github.com/hyssopsill/hyssopsill/request/record"
 )
 
 func explainCommand(a *app) *cli.Command {
 	return &cli.Command{
 		Name: "explain", Usage: "explain the outcome of a request, or what happened to a target", ArgsUsage: "[REQUEST-ID]",
-		Description: "Reads the nodes' memory first and the log for older records. Says when records are missing.",
+		Description: "Reads the nodes' memory first and the log for older records, or saved log files only (--logs). Says when records are missing.",
 		Action:      withTimeout(a.explain),
-		Flags:       append(rangeFlags("1h"), &cli.StringFlag{Name: "target", Usage: "`TARGET` to explain instead of a request"}),
+		Flags:       append(rangeFlags("1h"), logsFlag(), &cli.StringFlag{Name: "target", Usage: "`TARGET` to explain instead of a request"}),
 	}
 }
 
@@ -32,6 +33,12 @@
 		return badInputf("%s: want either REQUEST-ID or --target", c.FullName())
 	}
 	var err error
+	if c.IsSet("logs") {
+		if q.From, q.To, err = a.logRange(c); err != nil {
+			return err
+		}
+		return a.explainLogs(c, q)
+	}
 	if q.From, q.To, err = a.timeRange(c); err != nil {
 		return err
 	}
@@ -48,15 +55,19 @@
 	return nil
 }
 
-func writeAccount(w io.Writer, x account) {
-	for i := range x.Records {
-		for j, sentence := range x.Records[i].Sentences() {
+func writeRecords(w io.Writer, records []record.Record) {
+	for i := range records {
+		for j, sentence := range records[i].Sentences() {
 			if j > 0 {
 				sentence = "    " + sentence
 			}
 			fmt.Fprintln(w, sentence)
 		}
 	}
+}
+
+func writeAccount(w io.Writer, x account) {
+	writeRecords(w, x.Records)
 	if missing := x.missingSentences(); len(missing) > 0 {
 		fmt.Fprintln(w, "\nMissing:")
 		for _, sentence := range missing {
--- a/cmd/hyssopsilld/main.go
+++ b/cmd/hyssopsilld/main.go
@@ -20,6 +20,7 @@
 	"github.com/hyssopsill/hyssopsill/platform"
 	"github.com/hyssopsill/hyssopsill/process/node"
 	"github.com/hyssopsill/hyssopsill/process/settings"
+	"github.com/hyssopsill/hyssopsill/process/telemetry"
 )
 
 const (
@@ -123,7 +124,9 @@
 	if err != nil {
 		return err
 	}
-	logger := zerolog.New(e.out).Level(level).With().Timestamp().Str("node", s.Node).Logger()
+	output := telemetry.NewOutput(e.out)
+	defer func() { _ = output.Close() }() // never fails
+	logger := output.Logger(s.Node, level)
 	o, err := e.options(s, logger)
 	if err != nil {
 		return err
@@ -142,6 +145,7 @@
 		for s := range signals {
 			if !e.repeatsSignals {
 				logger.Error().Msg("node: second signal, stopping at once")
+				_ = output.Close() // writes the line
 				os.Exit(exitKilled)
 			}
 			logger.Info().Str("signal", s.String()).Msg("node: repeated signal, the time limit of the drain begins again")
--- a/process/control/documents.go
+++ b/process/control/documents.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/hyssopsill/hyssopsill/eventlog"
 	"github.com/hyssopsill/hyssopsill/process/control/controlpb"
 	"github.com/hyssopsill/hyssopsill/request/invariant"
+	"github.com/hyssopsill/hyssopsill/request/record"
 	"github.com/hyssopsill/hyssopsill/version/config"
 	"github.com/hyssopsill/hyssopsill/version/distribute"
 	"github.com/hyssopsill/hyssopsill/version/document"
@@ -52,6 +54,8 @@
 	Random   *rand.Rand
 	Reporter invariant.Reporter
 	Log      zerolog.Logger
+	// Record takes changes of state.
+	Record func(record.Record)
 }
 
 // Documents keeps the newest configuration document in force. It is safe for
@@ -117,7 +121,7 @@
 func (d *Documents) follow(ctx context.Context) {
 	source := d.options.Source
 	next, pause := int64(-1), retryFirst
-	var lost error
+	dependency := record.Dependency{Name: "log service (configuration)"}
 	for ctx.Err() == nil {
 		if next >= 0 && !d.reader() {
 			d.awaitCheck(ctx)
@@ -137,8 +141,10 @@
 		case err != nil && ctx.Err() != nil:
 			return
 		}
-		d.logSource(lost, err)
-		if lost = err; err != nil {
+		if change, ok := dependency.Note(err); ok {
+			d.record(record.KindDependency, change)
+		}
+		if err != nil {
 			next = -1 // the newest records are read again: the position may be of a lost history
 			sleep(ctx, pause/2+time.Duration(rand.Int64N(int64(pause))))
 			pause = min(2*pause, retryMost)
@@ -168,13 +174,9 @@
 	}
 }
 
-// logSource logs that the log service was lost or regained.
-func (d *Documents) logSource(before, after error) {
-	switch {
-	case before == nil && after != nil:
-		d.log.Warn().Err(after).Msg("config: the log service cannot be read; peers are asked for news")
-	case before != nil && after == nil:
-		d.log.Info().Msg("config: the log service can be read again")
+func (d *Documents) record(kind record.Kind, c record.Change) {
+	if d.options.Record != nil {
+		d.options.Record(record.Record{At: time.Now(), Node: d.options.Core.Node, Kind: kind, Change: &c})
 	}
 }
 
@@ -196,7 +198,8 @@
 	}
 	d.mu.Unlock()
 	if err != nil {
-		d.log.Warn().Err(err).Str("from", from).Int64("version", version).Msg("config: document refused; the version in force stays")
+		d.record(record.KindVersion, record.Change{Subject: "document", From: strconv.FormatInt(version, 10), To: "unchanged",
+			Why: "the document from " + from + " is refused: " + err.Error()})
 	}
 	for _, p := range to {
 		d.calls.start(func(ctx context.Context) {
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -87,7 +87,6 @@
 	tries    map[uint64]*try
 	evidence map[string]evidence // by service
 	demand   demand
-	outcomes *outcomeLog
 	sizes    map[string]float64 // mean bytes of an exchange by route
 	probing  map[string]time.Time
 	failing  map[string]time.Time // targets out of rotation by their gates' word, until when
@@ -131,7 +130,6 @@
 		tries:    map[uint64]*try{},
 		evidence: map[string]evidence{},
 		demand:   newDemand(),
-		outcomes: newOutcomeLog(o.Log),
 		probing:  map[string]time.Time{},
 		sizes:    map[string]float64{},
 		failing:  map[string]time.Time{},
--- a/process/entry/request.go
+++ b/process/entry/request.go
@@ -99,7 +99,6 @@
 	d := q.e.now().Sub(q.start)
 	q.rec.DurationMS = float64(d) / float64(time.Millisecond)
 	q.e.o.Observe(q.rec.Service, q.rec.Class, q.customer, q.rec.Outcome, q.rec.Reason, d)
-	q.e.outcomes.log(q, d)
 	q.e.o.Record(record.Record{At: q.start, Node: q.e.o.Node, Kind: record.KindRequest, Request: &q.rec})
 }
 
@@ -215,6 +214,7 @@
 		}
 	}
 	q.deadline = q.start.Add(limit)
+	q.rec.ObjectiveMS = time.Duration(q.class.Objective).Milliseconds()
 	q.rec.DeadlineMS = limit.Milliseconds()
 	return nil
 }
--- a/process/entry/tick.go
+++ b/process/entry/tick.go
@@ -86,10 +86,8 @@
 		case health.VerifyAttempt:
 			go e.verify(c)
 		case health.Eject:
-			e.log.Warn().Msgf("entry: target %s is ejected: %s", c.Target, c.Why)
 			e.recordChange(now, record.KindEjection, targetChange(c, "in rotation", "ejected"))
 		case health.Return:
-			e.log.Info().Msgf("entry: target %s returns to rotation: %s", c.Target, c.Why)
 			e.recordChange(now, record.KindReturn, targetChange(c, "ejected", "in rotation"))
 		case health.Distrust:
 			e.recordChange(now, record.KindEjection, targetChange(c, "in rotation", "in rotation"))
@@ -101,10 +99,8 @@
 			if subject == "" {
 				subject = c.Domain
 			}
-			e.log.Warn().Msgf("entry: %s %s: %s", c.Kind, subject, c.Why)
 			e.recordChange(now, record.KindMembership, record.Change{Subject: subject, To: string(c.Kind), Why: c.Why})
 		case health.OwnPause:
-			e.log.Warn().Msgf("entry: own host paused: %s", c.Why)
 			e.recordChange(now, record.KindPause, record.Change{Subject: e.o.Node, To: "paused", Why: c.Why})
 		}
 	}
--- a/process/gate/breaker.go
+++ b/process/gate/breaker.go
@@ -7,6 +7,7 @@
 
 	"github.com/hyssopsill/hyssopsill/connection/breaker"
 	"github.com/hyssopsill/hyssopsill/request/attempt"
+	"github.com/hyssopsill/hyssopsill/request/record"
 )
 
 // passBreaker refuses a request that would go to a failing target while another
@@ -95,6 +96,8 @@
 	if open {
 		state = "failing"
 	}
-	g.log.Info().Str("request", string(x.id.Request)).Str("target", x.target).Str("service", x.t.Service).
-		Str("after", g.now().Sub(x.sentAt).Round(time.Millisecond).String()).Msg(fmt.Sprintf("gate: target is %s", state))
+	g.o.Record(record.Record{At: g.now(), Node: g.o.Node, Kind: record.KindFailing, Change: &record.Change{
+		Subject: x.target, Service: x.t.Service, To: state, Request: x.id.Request,
+		Why: fmt.Sprintf("an attempt ended %s after it was sent", g.now().Sub(x.sentAt).Round(time.Millisecond)),
+	}})
 }
--- a/process/gate/targets.go
+++ b/process/gate/targets.go
@@ -276,9 +276,8 @@
 	}
 	for _, c := range changes {
 		if c.Kind == poison.ChangeQuarantine {
-			g.log.Warn().Msgf("gate: request digest %016x is quarantined until %s", uint64(c.Digest), c.Until.UTC().Format(time.RFC3339))
 			g.record(record.KindQuarantine, fmt.Sprintf("%016x", uint64(c.Digest)), "", "quarantined",
-				"a second target crashed while it ran")
+				"a second target crashed while it ran; it ends at "+c.Until.UTC().Format(record.SentenceTime))
 		}
 	}
 	g.o.Poison(changes)
--- a/process/node/drain.go
+++ b/process/node/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -31,9 +32,8 @@
 func (n *Node) drain() {
 	defer n.stop(errDrained)
 	begun := n.now()
-	n.log.Info().Msgf("node: draining with %d requests at the gate and %d at the entry", n.gate.Running(), n.entry.Active())
-	n.exporter.Record(record.Record{At: begun, Node: n.o.Settings.Node, Kind: record.KindDrain,
-		Change: &record.Change{Subject: n.o.Settings.Node, To: "leaving", Why: "drain requested"}})
+	n.record(record.Record{At: begun, Node: n.o.Settings.Node, Kind: record.KindDrain,
+		Change: &record.Change{Subject: n.o.Settings.Node, To: "leaving", Why: fmt.Sprintf("drain requested with %d requests at the gate and %d at the entry", n.gate.Running(), n.entry.Active())}})
 	n.entry.Drain()
 	n.gate.Leave()
 	n.fleet.leave()
--- a/process/node/fleet.go
+++ b/process/node/fleet.go
@@ -137,8 +137,7 @@
 	}
 	g.mu.Unlock()
 	for _, r := range records {
-		g.n.log.Info().Msgf("membership: node %s is %s", r.Change.Subject, r.Change.To)
-		g.n.exporter.Record(r)
+		g.n.record(r)
 	}
 	g.n.entry.SetView(v)
 	g.n.gate.SetSharers(sharers(v))
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -61,6 +61,7 @@
 	metrics    *telemetry.Metrics
 	ring       *record.Ring
 	exporter   *telemetry.Exporter
+	lines      *telemetry.Lines
 	gate       *gate.Gate
 	entry      *entry.Entry
 	meter      *control.Meter
@@ -115,6 +116,13 @@
 	return n, nil
 }
 
+// record keeps a decision record, counts it and writes its log line.
+func (n *Node) record(r record.Record) {
+	n.exporter.Record(r)
+	n.metrics.ObserveRecord(r)
+	n.lines.Write(r)
+}
+
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 func (n *Node) buildTelemetry() {
@@ -125,6 +133,8 @@
 	n.ring = record.NewRing(record.RingOptions{})
 	n.exporter = telemetry.NewExporter(telemetry.ExportOptions{Node: name, Incarnation: attempt.NewIncarnation(n.now(), newRand())}, n.ring, n.o.Platform, n.log)
 	n.exporter.Export(n.metrics)
+	n.lines = telemetry.NewLines(n.log)
+	n.lines.Export(n.metrics)
 	n.meter = control.NewMeter()
 	n.metrics.Set("control", n.meter.Vars())
 	n.metrics.Set("config_version", expvar.Func(func() any { return n.version.Load() }))
@@ -135,7 +145,7 @@
 	n.gate = gate.New(gate.Options{
 		Node: s.Node, Token: s.FleetToken, HeaderBytes: int64(s.Limits.HeaderBytes), Surface: n.o.Surface, QueuePerSlot: s.Defaults.QueuePerSlot,
 		RetryShare: s.Defaults.RetryShare, RetrySlack: s.Defaults.RetrySlack, RetryWindow: s.Defaults.RetryWindow,
-		Now: n.now, Rand: newRand(), Log: n.log, Reporter: n.metrics.Invariants, Record: n.exporter.Record,
+		Now: n.now, Rand: newRand(), Log: n.log, Reporter: n.metrics.Invariants, Record: n.record,
 		Poison: func(cs []poison.Change) { n.entry.Exonerate(cs) },
 	})
 	n.entry = entry.New(entry.Options{
@@ -143,7 +153,7 @@
 		Surface: n.o.Surface, HostService: n.o.HostService, RetryShare: s.Defaults.RetryShare, GateJudges: s.Defaults.RetrySlack > 0,
 		HeaderBytes: int64(s.Limits.HeaderBytes), BodyBytes: s.Limits.BodyBytes,
 		Now: n.now, Rand: newRand(), Log: n.log, Reporter: n.metrics.Invariants, Platform: n.o.Platform,
-		Record: n.exporter.Record, Observe: n.metrics.ObserveRequest, Quarantined: n.gate.Quarantined,
+		Record: n.record, Observe: n.metrics.ObserveRequest, Quarantined: n.gate.Quarantined,
 		Crashed: func(r poison.Report) { n.gate.MergePoison([]poison.Report{r}) },
 	})
 	n.metrics.Set("gate_running", expvar.Func(func() any { return n.gate.Running() }))
@@ -268,6 +278,7 @@
 		return control.NewDocuments(control.DocumentOptions{
 			Core:   document.Options{Node: s.Node, Domain: s.Domain, Decode: n.o.Documents.Decode, OnConfig: n.setConfig},
 			Source: *n.o.Documents, Client: n.client, Peers: n.fleet.peers, Random: newRand(), Reporter: n.metrics.Invariants, Log: n.log,
+			Record: n.record,
 		})
 	}
 	return control.NewConfiguration(control.ConfigurationOptions{
@@ -281,8 +292,7 @@
 	before := n.version.Swap(c.Version)
 	n.entry.SetConfig(c)
 	n.gate.SetConfig(c)
-	n.log.Info().Msgf("config: version %d in force", c.Version)
-	n.exporter.Record(record.Record{At: n.now(), Node: n.o.Settings.Node, Kind: record.KindVersion, Change: &record.Change{
+	n.record(record.Record{At: n.now(), Node: n.o.Settings.Node, Kind: record.KindVersion, Change: &record.Change{
 		Subject: "configuration", From: strconv.FormatInt(before, 10), To: strconv.FormatInt(c.Version, 10), Why: "published by an operator",
 	}})
 }
--- a/process/node/seeds.go
+++ b/process/node/seeds.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"slices"
 	"time"
 
 	"github.com/hyssopsill/hyssopsill/eventlog"
+	"github.com/hyssopsill/hyssopsill/request/record"
 	"github.com/hyssopsill/hyssopsill/version/membership"
 )
 
@@ -18,11 +18,12 @@
 // those of others. The table keeps the newest record of a node for ever, so that
 // nodes find each other again after all of them lost power.
 func (g *fleetView) ServeSeeds(ctx context.Context) error {
-	var last error
+	table := record.Dependency{Name: "table of nodes"}
 	for {
 		err := g.exchangeSeeds(ctx)
-		g.logTable(last, err)
-		last = err
+		if change, ok := table.Note(err); ok {
+			g.n.record(record.Record{At: g.n.now(), Node: g.n.o.Settings.Node, Kind: record.KindDependency, Change: &change})
+		}
 		wait := seedsEvery
 		if err != nil || !g.heard() {
 			wait = seedsWhileLone
@@ -59,17 +60,6 @@
 	return g.n.o.Platform.Put(ctx, eventlog.TableNodes, g.n.o.Settings.Node, []byte(address))
 }
 
-// logTable logs that the table of nodes was lost or regained.
-func (g *fleetView) logTable(before, after error) {
-	switch {
-	case errors.Is(after, context.Canceled):
-	case before == nil && after != nil:
-		g.n.log.Warn().Err(after).Msg("membership: the table of nodes cannot be used")
-	case before != nil && after == nil:
-		g.n.log.Info().Msg("membership: the table of nodes can be used again")
-	}
-}
-
 func (g *fleetView) addSeeds(entries []eventlog.Entry) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/process/telemetry/metrics.go
+++ b/process/telemetry/metrics.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hyssopsill/hyssopsill/request/attempt"
+	"github.com/hyssopsill/hyssopsill/request/record"
 )
 
 // Options configures the metrics of one node.
@@ -26,6 +27,8 @@
 	Histograms *Histograms
 
 	counters expvar.Map
+	changes  expvar.Map // of belief, by kind and new state
+	attempts expvar.Map // that ended, by verdict and reason
 	control  expvar.Map
 	root     expvar.Map
 	outcomes *outcomeCounts
@@ -43,6 +46,8 @@
 	m.root.Set("latency", expvar.Func(func() any { return m.Histograms.Snapshot() }))
 	m.root.Set("outcomes", expvar.Func(func() any { return m.outcomes.snapshot() }))
 	m.root.Set("counters", &m.counters)
+	m.root.Set("changes", &m.changes)
+	m.root.Set("attempts", &m.attempts)
 	m.root.Set("control_bytes", &m.control)
 	return m
 }
@@ -67,6 +72,52 @@
 	m.outcomes.add(seriesKey{service, class}, o, r)
 }
 
+// ObserveRecord counts a decision record: a change by its kind and new state,
+// such as ejection.ejected, and the attempts of a request by verdict and reason,
+// such as refused.retry-budget. All names are fixed words.
+func (m *Metrics) ObserveRecord(r record.Record) {
+	switch {
+	case r.Request != nil:
+		for i := range r.Request.Attempts {
+			m.attempts.Add(attemptName(&r.Request.Attempts[i]), 1)
+		}
+	case r.Kind == record.KindVersion && r.Change.To != "unchanged":
+		m.changes.Add(string(r.Kind), 1)
+	case r.Change != nil:
+		m.changes.Add(string(r.Kind)+"."+r.Change.To, 1)
+	}
+}
+
+// Changes returns the counts of changes of belief.
+func (m *Metrics) Changes() map[string]int64 { return values(&m.changes) }
+
+// Attempts returns the counts of ended attempts.
+func (m *Metrics) Attempts() map[string]int64 { return values(&m.attempts) }
+
+func values(counts *expvar.Map) map[string]int64 {
+	out := map[string]int64{}
+	counts.Do(func(kv expvar.KeyValue) {
+		if v, ok := kv.Value.(*expvar.Int); ok {
+			out[kv.Key] = v.Value()
+		}
+	})
+	return out
+}
+
+func attemptName(a *record.Attempt) string {
+	name := string(a.Verdict)
+	if name == "" {
+		name = "silent"
+	}
+	if a.Reason != attempt.ReasonNone {
+		name += "." + string(a.Reason)
+	}
+	if a.Number > 1 {
+		name = "repeat." + name
+	}
+	return name
+}
+
 // ControlBytes meters one control message of a method, in bytes.
 func (m *Metrics) ControlBytes(method string, sent, received int) {
 	m.control.Add(method+".sent", int64(sent))
--- a/request/record/record.go
+++ b/request/record/record.go
@@ -18,7 +18,9 @@
 	KindVersion    Kind = "version"
 	KindMembership Kind = "membership"
 	KindPause      Kind = "pause"
-	KindGap        Kind = "gap" // records that could not be kept; Count says how many
+	KindFailing    Kind = "failing"    // the gate of a target sees it fail, or be well again
+	KindDependency Kind = "dependency" // a service that the node uses was lost or is back
+	KindGap        Kind = "gap"        // records that could not be kept; Count says how many
 )
 
 // Record is one decision of one node.
@@ -46,6 +48,7 @@
 	Customer      string            `json:"customer,omitempty"`  // keyed hash of the account
 	OrderKey      string            `json:"order_key,omitempty"` // keyed hash
 	DeadlineMS    int64             `json:"deadline_ms,omitempty"`
+	ObjectiveMS   int64             `json:"objective_ms,omitempty"` // time after which an answer is late
 	Outcome       attempt.Outcome   `json:"outcome"`
 	Reason        attempt.Reason    `json:"reason,omitempty"`
 	Detail        string            `json:"detail,omitempty"`
@@ -88,4 +91,6 @@
 	From    string `json:"from,omitempty"`
 	To      string `json:"to"`
 	Why     string `json:"why"`
+	// Request that showed the change, where one did.
+	Request attempt.RequestID `json:"request,omitempty"`
 }
--- a/request/record/sentence.go
+++ b/request/record/sentence.go
@@ -140,6 +140,10 @@
 		s = fmt.Sprintf("Configuration %s changed", subject)
 	case KindMembership:
 		s = fmt.Sprintf("Node %s changed its state", subject)
+	case KindFailing:
+		s = fmt.Sprintf("The gate judges target %s", subject)
+	case KindDependency:
+		s = fmt.Sprintf("The state of %s changed", subject)
 	case KindPause:
 		s = fmt.Sprintf("%s was paused", subject)
 	default:
@@ -154,6 +158,9 @@
 	if c.Why != "" {
 		s += ": " + c.Why
 	}
+	if c.Request != "" {
+		s += fmt.Sprintf(" (seen with request %s)", c.Request)
+	}
 	return s + "."
 }
 
