--- a/request/record/sentence.go
+++ b/request/record/sentence.go
@@ -79,6 +79,12 @@
 	if q.DeadlineMS > 0 {
 		s += fmt.Sprintf(", deadline %s", milliseconds(float64(q.DeadlineMS)))
 	}
+	if q.ObjectiveMS > 0 {
+		s += fmt.Sprintf(", objective %s", milliseconds(float64(q.ObjectiveMS)))
+		if q.Outcome == attempt.Answered && q.DurationMS > float64(q.ObjectiveMS) {
+			s += ", so that the answer came late"
+		}
+	}
 	return s + "."
 }
 
@@ -193,6 +199,10 @@
 	attempt.ReasonTooLarge:            "its body was larger than the class allows",
 	attempt.ReasonNoTarget:            "no target of the service was in reach",
 	attempt.ReasonOverload:            "the slots and queues of the service were full",
+	attempt.ReasonBusy:                "its slots were taken and another target was known to have a free one",
+	attempt.ReasonRetryBudget:         "the budget of repeats of the service was used up",
+	attempt.ReasonTargetFailing:       "its gate had just seen the target fail",
+	attempt.ReasonTargetRefused:       "the target itself refused to run it",
 	attempt.ReasonDeadline:            "its deadline had passed or would have passed before it could start",
 	attempt.ReasonRateLimit:           "a rate limit was reached",
 	attempt.ReasonConcurrencyLimit:    "a limit of requests in progress was reached",
