gate: calls of repeated runs are counted in the budget of repeats

The entry beside the calling target knows which share of the runs at its host repeats a request and tells the gate with each call, which takes that share from its budget. Calls no longer let the budget grow, as the platform counts requests of clients only. Gates use 0.8 of the budget instead of 0.5.

--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -48,6 +48,9 @@
 	GateJudges bool
 	Platform   eventlog.Log // for the bindings of foreign order keys
 	Record     func(record.Record)
+	// CallShare returns which share of the runs at the targets of this host
+	// repeats a request. nil: calls of targets are like other requests.
+	CallShare func() float64
 	// Observe counts an ended request.
 	Observe func(service, class, customer string, o attempt.Outcome, r attempt.Reason, d time.Duration)
 
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -434,3 +434,28 @@
 	}
 	return key.Key
 }
+
+// Guards against calls of targets that gates take for requests of callers, and
+// the reverse.
+func TestCallsOfTargetsAreMarked(t *testing.T) {
+	marks := make(chan string, 1)
+	s := newTestEntry(t, func(w http.ResponseWriter, r *http.Request) {
+		marks <- r.Header.Get(attempt.HeaderCallShare)
+		gateAnswer(w, r.Header.Get(attempt.HeaderAttempt), "ok", "ok")
+	}, false, 1)
+	s.Config.Handler.(*Entry).o.CallShare = func() float64 { return 0.25 }
+	for customer, want := range map[string]string{"": "0.25", "school-1": ""} {
+		req, _ := http.NewRequest(http.MethodGet, s.URL+"/kits", http.NoBody)
+		if customer != "" {
+			req.Header.Set("X-Customer", customer)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if got := <-marks; got != want {
+			t.Errorf("customer %q: call share %q, want %q", customer, got, want)
+		}
+	}
+}
--- a/process/entry/request.go
+++ b/process/entry/request.go
@@ -50,8 +50,11 @@
 	digest  poison.Digest
 	skip    func(string) bool
 	history []attemptState
-	prepaid bool        // the budget was taken for the next attempt
-	keep    func() bool // lets the request go on when the others are ended
+	isCall  bool // made by a target of this host while it runs a request
+	// callShare is the share of the runs at this host that repeat a request.
+	callShare float64
+	prepaid   bool        // the budget was taken for the next attempt
+	keep      func() bool // lets the request go on when the others are ended
 }
 
 // upload is the part of a body that is passed on while it arrives.
@@ -189,6 +192,9 @@
 
 func (q *request) setCustomer() {
 	q.customer = q.r.Header.Get(q.routing.config.CustomerHeader)
+	if q.customer == "" && q.e.o.CallShare != nil {
+		q.isCall, q.callShare = true, q.e.o.CallShare()
+	}
 	if q.customer == "" {
 		q.customer, _, _ = net.SplitHostPort(q.r.RemoteAddr) // always host:port for TCP
 	}
--- a/process/gate/repeat.go
+++ b/process/gate/repeat.go
@@ -8,11 +8,10 @@
 )
 
 const (
-	// repeatSafety is the part of the budget that gates use. Calls that a
-	// repeated run makes count as repeats too, and no gate can tell them: with
-	// 0.75, sunbake's scale-1 had 204 repeats in 10 s at orders where 182 were
-	// allowed, a third of them calls of repeated page reads.
-	repeatSafety = 0.5
+	// repeatSafety is the part of the budget that gates use. The rest is for
+	// what they cannot count: calls of repeated runs are known as a share of the
+	// runs at the caller's host only.
+	repeatSafety = 0.8
 	// sharersKnown is the time after the first view of the fleet during which the
 	// number of gates that share a budget may be too low. Until then only the
 	// share of first attempts counts.
@@ -43,9 +42,12 @@
 	allowed := true
 	if t != nil {
 		now, b := g.now(), g.repeatBudget(t.Service)
-		if x.repeat {
+		switch {
+		case x.repeat:
 			allowed = b.Take(now)
-		} else {
+		case x.isCall: // the budget grows with the requests of callers only
+			b.Spend(now, x.share)
+		default:
 			b.First(now)
 		}
 	}
@@ -56,6 +58,30 @@
 	return allowed
 }
 
+// RepeatShare returns which share of the runs at the targets of this host repeats
+// a request, or is itself a call of such a run. A target that makes calls while
+// no run is known, as after its caller is gone, is taken to repeat.
+func (g *Gate) RepeatShare() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	runs, repeats := 0, 0.0
+	for _, x := range g.active {
+		switch {
+		case !x.started || x.released:
+			continue
+		case x.repeat:
+			repeats++
+		default:
+			repeats += x.share
+		}
+		runs++
+	}
+	if runs == 0 {
+		return 1
+	}
+	return repeats / float64(runs)
+}
+
 // repeatBudget returns this gate's part of a service's budget. g.mu is held.
 func (g *Gate) repeatBudget(service string) *retry.Budget {
 	b := g.repeats[service]
--- a/process/gate/repeat_test.go
+++ b/process/gate/repeat_test.go
@@ -67,6 +67,55 @@
 	}
 }
 
+// Guards against repeats beyond the budget of a service whose calls come from
+// repeated runs: those count as repeats there, and calls are no requests that the
+// budget grows with.
+func TestCallsOfRepeatedRunsUseTheBudget(t *testing.T) {
+	c := &clock{now: time.Unix(1000, 0)}
+	g := newBudgetGate(t, c)
+	g.SetSharers(map[string]int{"shop": 1})
+	c.now = c.now.Add(sharersKnown)
+	g.SetSharers(map[string]int{"shop": 1})
+	const requests, calls, share = 400, 100, 0.25
+	for range requests {
+		exchangeAt(g, false).passRepeat()
+	}
+	for range calls {
+		x := exchangeAt(g, false)
+		x.isCall, x.share = true, share
+		if !x.passRepeat() {
+			t.Fatal("the first attempt of a call is refused")
+		}
+	}
+	passed := 0
+	for range requests {
+		if exchangeAt(g, true).passRepeat() {
+			passed++
+		}
+	}
+	// The budget of the platform: a share of the requests and a slack, less the
+	// calls of repeated runs.
+	if most := 0.2*requests + 60 - calls*share; float64(passed) > most || float64(passed) < 0.6*most {
+		t.Errorf("%d repeats pass, the budget is %v", passed, most)
+	}
+}
+
+// Guards against a host that does not know which part of its calls come from
+// repeated runs.
+func TestRepeatShare(t *testing.T) {
+	g := newBudgetGate(t, &clock{now: time.Unix(1000, 0)})
+	if got := g.RepeatShare(); got != 1 {
+		t.Errorf("without a known run: %v, want 1", got)
+	}
+	for i, x := range []*exchange{{started: true}, {started: true, repeat: true}, {started: true, share: 0.5}, {started: true},
+		{repeat: true}, {started: true, released: true, repeat: true}} {
+		g.active[attempt.ID{Number: i}] = x
+	}
+	if got := g.RepeatShare(); got != 1.5/4 {
+		t.Errorf("share %v, want 0.375", got)
+	}
+}
+
 // Guards against gates that refuse repeats where entries keep the budget.
 func TestNoBudgetAtTheGate(t *testing.T) {
 	c := &clock{now: time.Unix(1000, 0)}
--- a/request/retry/budget.go
+++ b/request/retry/budget.go
@@ -39,7 +39,7 @@
 type slot struct {
 	second int64
 	first  int
-	extra  int
+	extra  float64
 }
 
 // NewBudget returns the budget of one service.
@@ -65,16 +65,20 @@
 	return true
 }
 
+// Spend counts repeats that nobody asked for here, such as the calls that a
+// repeated run makes: n of them, which may be a part of one.
+func (b *Budget) Spend(now time.Time, n float64) { b.at(now).extra += n }
+
 func (b *Budget) left(now time.Time) float64 {
 	oldest := now.Unix() - int64(len(b.slots)) + 1
-	first, extra := 0, 0
+	first, extra := 0, 0.0
 	for _, s := range b.slots {
 		if s.second >= oldest {
 			first += s.first
 			extra += s.extra
 		}
 	}
-	return b.o.Share*float64(first) + b.o.PerSecond*float64(len(b.slots)) - float64(extra)
+	return b.o.Share*float64(first) + b.o.PerSecond*float64(len(b.slots)) - extra
 }
 
 func (b *Budget) at(now time.Time) *slot {
