--- a/process/gate/repeat_test.go
+++ b/process/gate/repeat_test.go
@@ -150,6 +150,24 @@
 	}
 }
 
+// Guards against a request whose second attempt is the trial of a failing target,
+// so that it fails where another target would have served it.
+func TestRepeatIsNoTrial(t *testing.T) {
+	b := newBench(t, 4, false)
+	b.x.SetFaults(standin.Faults{TruncateShare: 1})
+	idempotent := []string{attempt.HeaderIdempotent, "1"}
+	if r := b.send(id("r1"), "/a", time.Second, idempotent...); r.verdict != "failed" {
+		t.Fatalf("first attempt: %+v", r)
+	}
+	b.x.SetFaults(standin.Faults{})
+	if r := b.send(id("r2"), "/a", time.Second, append(idempotent, attempt.HeaderRepeat, "1")...); r.reason != "target-failing" {
+		t.Errorf("a repeat at a failing target: %s %s", r.verdict, r.reason)
+	}
+	if r := b.send(id("r3"), "/a", time.Second, idempotent...); r.verdict != "ran" {
+		t.Errorf("a first attempt as trial: %s %s", r.verdict, r.reason)
+	}
+}
+
 // Guards against a process that is replaced at its address and stays in use, and
 // against a late announcement of the old one that removes the new one.
 func TestNewProcessAtAnAddress(t *testing.T) {
