--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -443,19 +443,15 @@
 		marks <- r.Header.Get(attempt.HeaderCallShare)
 		gateAnswer(w, r.Header.Get(attempt.HeaderAttempt), "ok", "ok")
 	}, false, 1)
-	s.Config.Handler.(*Entry).o.CallShare = func() float64 { return 0.25 }
-	for customer, want := range map[string]string{"": "0.25", "school-1": ""} {
-		req, _ := http.NewRequest(http.MethodGet, s.URL+"/kits", http.NoBody)
-		if customer != "" {
-			req.Header.Set("X-Customer", customer)
-		}
-		resp, err := http.DefaultClient.Do(req)
+	for host, want := range map[string]string{"127.0.0.1": "0.25", "10.0.0.9": ""} { // of the target; requests come from 127.0.0.1
+		s.Config.Handler.(*Entry).o.CallShare = func(ip string) (float64, bool) { return 0.25, ip == host }
+		resp, err := http.Get(s.URL + "/kits")
 		if err != nil {
 			t.Fatal(err)
 		}
 		_ = resp.Body.Close()
 		if got := <-marks; got != want {
-			t.Errorf("customer %q: call share %q, want %q", customer, got, want)
+			t.Errorf("target at %s: call share %q, want %q", host, got, want)
 		}
 	}
 }
--- a/process/entry/request.go
+++ b/process/entry/request.go
@@ -192,11 +192,12 @@
 
 func (q *request) setCustomer() {
 	q.customer = q.r.Header.Get(q.routing.config.CustomerHeader)
-	if q.customer == "" && q.e.o.CallShare != nil {
-		q.isCall, q.callShare = true, q.e.o.CallShare()
+	host, _, _ := net.SplitHostPort(q.r.RemoteAddr) // always host:port for TCP
+	if q.e.o.CallShare != nil {
+		q.callShare, q.isCall = q.e.o.CallShare(host)
 	}
 	if q.customer == "" {
-		q.customer, _, _ = net.SplitHostPort(q.r.RemoteAddr) // always host:port for TCP
+		q.customer = host
 	}
 	if len(q.customer) > maxCustomerBytes {
 		q.customer = q.customer[:maxCustomerBytes]
--- a/process/gate/repeat.go
+++ b/process/gate/repeat.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"net"
 	"time"
 
 	"github.com/hyssopsill/hyssopsill/request/attempt"
@@ -58,28 +59,36 @@
 	return allowed
 }
 
-// RepeatShare returns which share of the runs at the targets of this host repeats
-// a request, or is itself a call of such a run. A target that makes calls while
-// no run is known, as after its caller is gone, is taken to repeat.
-func (g *Gate) RepeatShare() float64 {
+// CallShare returns which share of the runs of the target at an IP address repeats
+// a request, or is itself a call of such a run, and whether a target is there. A
+// target that makes calls while no run is known, as after its caller is gone, is
+// taken to repeat.
+func (g *Gate) CallShare(ip string) (float64, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	runs, repeats := 0, 0.0
-	for _, x := range g.active {
-		switch {
-		case !x.started || x.released:
-			continue
-		case x.repeat:
-			repeats++
-		default:
-			repeats += x.share
+	for _, t := range g.targets {
+		if host, _, err := net.SplitHostPort(t.Address); err == nil && host == ip {
+			return t.repeatShare(), true
 		}
-		runs++
 	}
-	if runs == 0 {
+	return 0, false
+}
+
+// repeatShare is the share of the target's runs that repeat a request. The
+// gate's mu is held.
+func (t *target) repeatShare() float64 {
+	if len(t.inFlight) == 0 {
 		return 1
 	}
-	return repeats / float64(runs)
+	repeats := 0.0
+	for x := range t.inFlight {
+		if x.repeat {
+			repeats++
+		} else {
+			repeats += x.share
+		}
+	}
+	return repeats / float64(len(t.inFlight))
 }
 
 // repeatBudget returns this gate's part of a service's budget. g.mu is held.
--- a/process/gate/repeat_test.go
+++ b/process/gate/repeat_test.go
@@ -100,18 +100,20 @@
 	}
 }
 
-// Guards against a host that does not know which part of its calls come from
-// repeated runs.
-func TestRepeatShare(t *testing.T) {
-	g := newBudgetGate(t, &clock{now: time.Unix(1000, 0)})
-	if got := g.RepeatShare(); got != 1 {
-		t.Errorf("without a known run: %v, want 1", got)
-	}
-	for i, x := range []*exchange{{started: true}, {started: true, repeat: true}, {started: true, share: 0.5}, {started: true},
-		{repeat: true}, {started: true, released: true, repeat: true}} {
-		g.active[attempt.ID{Number: i}] = x
-	}
-	if got := g.RepeatShare(); got != 1.5/4 {
+// Guards against a host that takes the requests of callers for calls of its
+// target, or does not know which part of those calls comes from repeated runs.
+func TestCallShare(t *testing.T) {
+	g := newBudgetGate(t, &clock{now: time.Unix(1000, 0)}) // its target is at 127.0.0.1
+	if _, ok := g.CallShare("10.0.0.9"); ok {
+		t.Error("a caller of another host is taken for the target")
+	}
+	if got, ok := g.CallShare("127.0.0.1"); !ok || got != 1 {
+		t.Errorf("without a known run: %v %v, want 1", got, ok)
+	}
+	for _, x := range []*exchange{{}, {repeat: true}, {share: 0.5}, {}} {
+		g.targets["t1"].inFlight[x] = struct{}{}
+	}
+	if got, _ := g.CallShare("127.0.0.1"); got != 1.5/4 {
 		t.Errorf("share %v, want 0.375", got)
 	}
 }
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -118,11 +118,11 @@
 
 // callShare tells the entry about the runs at the targets of this host, where
 // gates keep the budget of repeats and targets make calls through the entry.
-func (n *Node) callShare() func() float64 {
+func (n *Node) callShare() func(string) (float64, bool) {
 	if n.o.Settings.Defaults.RetrySlack <= 0 || n.o.Surface.CallerService == "" {
 		return nil
 	}
-	return n.gate.RepeatShare
+	return n.gate.CallShare
 }
 
 // record keeps a decision record, counts it and writes its log line.
