gate: a request counts once for the budget, also in the windows before

Cause: a request was counted at each gate that it asked before one took it, so that the budget seemed larger than it is, and the platform counts the requests of the window before too when they are more. Requests are now counted with their first attempt only, and the budget looks at the three windows of the platform's rule (Options.Earlier; the product's own budget stays as it was). Gates use 0.9 of it where calls are told.

--- a/process/gate/exchange.go
+++ b/process/gate/exchange.go
@@ -69,6 +69,7 @@
 		}
 		defer x.finishOrder()
 	}
+	x.countRequest()
 	if !x.passPoison() {
 		return
 	}
--- a/process/gate/repeat.go
+++ b/process/gate/repeat.go
@@ -11,7 +11,7 @@
 const (
 	// repeatSafety is the part of the budget that gates use for services whose
 	// calls are known as such. The rest is for calls of runs whose caller is gone.
-	repeatSafety = 0.85
+	repeatSafety = 0.9
 	// blindSafety is the part for other services: calls that a repeated run makes
 	// count as repeats, and without names that tell, they made a third of all at
 	// orders of sunbake's scale-1.
@@ -37,28 +37,37 @@
 	g.sharers = counts
 }
 
-// passRepeat counts an attempt and refuses a repeat that the budget does not
-// have.
+// countRequest counts a request once, with its first attempt, whether this gate
+// takes it or not.
+func (x *exchange) countRequest() {
+	g := x.g
+	if g.o.RetrySlack <= 0 || x.id.Number != 1 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t := g.targets[x.target]
+	if t == nil {
+		return
+	}
+	now := g.now()
+	if !x.isCall {
+		g.repeatBudget(t.Service).First(now)
+		return
+	}
+	g.calledAt[t.Service] = now // the budget grows with the requests of callers only
+	g.repeatBudget(t.Service).Spend(now, x.share)
+}
+
+// passRepeat refuses a repeat that the budget does not have.
 func (x *exchange) passRepeat() bool {
 	g := x.g
-	if g.o.RetrySlack <= 0 {
+	if g.o.RetrySlack <= 0 || !x.repeat {
 		return true
 	}
 	g.mu.Lock()
 	t := g.targets[x.target]
-	allowed := true
-	if t != nil {
-		now, b := g.now(), g.repeatBudget(t.Service)
-		switch {
-		case x.repeat:
-			allowed = b.Take(now)
-		case x.isCall: // the budget grows with the requests of callers only
-			g.calledAt[t.Service] = now
-			b.Spend(now, x.share)
-		default:
-			b.First(now)
-		}
-	}
+	allowed := t == nil || g.repeatBudget(t.Service).Take(g.now())
 	g.mu.Unlock()
 	if !allowed {
 		x.refuse(attempt.VerdictRefused, attempt.ReasonRetryBudget, "the budget of repeats of the service is used up", 0)
@@ -94,7 +103,7 @@
 func (g *Gate) repeatBudget(service string) *retry.Budget {
 	b := g.repeats[service]
 	if b == nil {
-		b = retry.NewBudget(retry.Options{Window: g.o.RetryWindow})
+		b = retry.NewBudget(retry.Options{Window: g.o.RetryWindow, Earlier: true})
 		g.repeats[service] = b
 	}
 	now, safety := g.now(), blindSafety
--- a/request/retry/budget.go
+++ b/request/retry/budget.go
@@ -10,6 +10,9 @@
 	PerSecond float64
 	// Window over which the budget is counted, whole seconds. Default 10s.
 	Window time.Duration
+	// Earlier counts the first attempts of the window before, or of the one half a
+	// window before, where they are more: demand that falls leaves work to repeat.
+	Earlier bool
 
 	// Unlimited grants every retry, as where gates keep the budget.
 	Unlimited bool
@@ -33,7 +36,7 @@
 // attempts of the same window plus PerSecond. It is not safe for concurrent use.
 type Budget struct {
 	o     Options
-	slots []slot // one per second of the window
+	slots []slot // one per second of two windows
 }
 
 type slot struct {
@@ -45,7 +48,7 @@
 // NewBudget returns the budget of one service.
 func NewBudget(o Options) *Budget {
 	o = o.withDefaults()
-	return &Budget{o: o, slots: make([]slot, int(o.Window/time.Second))}
+	return &Budget{o: o, slots: make([]slot, 2*int(o.Window/time.Second))}
 }
 
 // SetPart changes share and retries allowed in addition, as a part of what the
@@ -70,15 +73,27 @@
 func (b *Budget) Spend(now time.Time, n float64) { b.at(now).extra += n }
 
 func (b *Budget) left(now time.Time) float64 {
-	oldest := now.Unix() - int64(len(b.slots)) + 1
-	first, extra := 0, 0.0
+	window := len(b.slots) / 2
+	first, extra := b.sum(now, 0)
+	if b.o.Earlier {
+		half, _ := b.sum(now, window/2)
+		whole, _ := b.sum(now, window)
+		first = max(first, half, whole)
+	}
+	return b.o.Share*float64(first) + b.o.PerSecond*float64(window) - extra
+}
+
+// sum counts the window that ended some seconds before now.
+func (b *Budget) sum(now time.Time, before int) (first int, extra float64) {
+	newest := now.Unix() - int64(before)
+	oldest := newest - int64(len(b.slots)/2) + 1
 	for _, s := range b.slots {
-		if s.second >= oldest {
+		if s.second >= oldest && s.second <= newest {
 			first += s.first
 			extra += s.extra
 		}
 	}
-	return b.o.Share*float64(first) + b.o.PerSecond*float64(len(b.slots)) - extra
+	return first, extra
 }
 
 func (b *Budget) at(now time.Time) *slot {
