--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -48,10 +48,6 @@
 	GateJudges bool
 	Platform   eventlog.Log // for the bindings of foreign order keys
 	Record     func(record.Record)
-	// CallShare tells whether a request is a call that a target of this host
-	// makes while it runs another request, and which part of the call counts as a
-	// repeat of that one. nil: calls of targets are like other requests.
-	CallShare func(attempt.RequestID) (float64, bool)
 	// Observe counts an ended request.
 	Observe func(service, class, customer string, o attempt.Outcome, r attempt.Reason, d time.Duration)
 
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -434,24 +434,3 @@
 	}
 	return key.Key
 }
-
-// Guards against calls of targets that gates take for requests of callers, and
-// the reverse.
-func TestCallsOfTargetsAreMarked(t *testing.T) {
-	marks := make(chan string, 1)
-	s := newTestEntry(t, func(w http.ResponseWriter, r *http.Request) {
-		marks <- r.Header.Get(attempt.HeaderCallShare)
-		gateAnswer(w, r.Header.Get(attempt.HeaderAttempt), "ok", "ok")
-	}, false, 1)
-	for call, want := range map[bool]string{true: "1.00", false: ""} {
-		s.Config.Handler.(*Entry).o.CallShare = func(attempt.RequestID) (float64, bool) { return 1, call }
-		resp, err := http.Get(s.URL + "/kits")
-		if err != nil {
-			t.Fatal(err)
-		}
-		_ = resp.Body.Close()
-		if got := <-marks; got != want {
-			t.Errorf("call %v: call share %q, want %q", call, got, want)
-		}
-	}
-}
--- a/process/entry/request.go
+++ b/process/entry/request.go
@@ -50,11 +50,8 @@
 	digest  poison.Digest
 	skip    func(string) bool
 	history []attemptState
-	isCall  bool // made by a target of this host while it runs a request
-	// callShare is 1 for a call of a run that repeats a request, 0 for others.
-	callShare float64
-	prepaid   bool        // the budget was taken for the next attempt
-	keep      func() bool // lets the request go on when the others are ended
+	prepaid bool        // the budget was taken for the next attempt
+	keep    func() bool // lets the request go on when the others are ended
 }
 
 // upload is the part of a body that is passed on while it arrives.
@@ -192,9 +189,6 @@
 
 func (q *request) setCustomer() {
 	q.customer = q.r.Header.Get(q.routing.config.CustomerHeader)
-	if q.e.o.CallShare != nil {
-		q.callShare, q.isCall = q.e.o.CallShare(q.rec.ID)
-	}
 	if q.customer == "" {
 		q.customer, _, _ = net.SplitHostPort(q.r.RemoteAddr) // always host:port for TCP
 	}
--- a/process/entry/try.go
+++ b/process/entry/try.go
@@ -237,9 +237,6 @@
 	if name := q.e.o.Surface.CallerService; name != "" {
 		fields = append(fields, roundtrip.Field{Name: name, Value: q.e.o.HostService})
 	}
-	if q.isCall {
-		fields = append(fields, roundtrip.Field{Name: attempt.HeaderCallShare, Value: strconv.FormatFloat(q.callShare, 'f', 2, 64)})
-	}
 	if age := q.e.now().Sub(q.start).Milliseconds(); age > 0 {
 		fields = append(fields, roundtrip.Field{Name: attempt.HeaderAgeMS, Value: strconv.FormatInt(age, 10)})
 	}
--- a/process/gate/breaker.go
+++ b/process/gate/breaker.go
@@ -18,7 +18,7 @@
 	t := x.g.targets[x.target]
 	decision, wait := breaker.Pass, time.Duration(0)
 	if t != nil && !x.force {
-		decision, wait = t.breaker.Admit(now, x.mayTry()), t.breaker.RetryAfter(now)
+		decision, wait = t.breaker.Admit(now, !x.tracked), t.breaker.RetryAfter(now)
 	}
 	x.g.mu.Unlock()
 	x.trial = decision == breaker.Trial
@@ -29,17 +29,13 @@
 	return true
 }
 
-// mayTry reports whether the request may be the trial of a failing target. A
-// repeat may not: it has no attempt left when the trial fails.
-func (x *exchange) mayTry() bool { return !x.tracked && !x.repeat }
-
 // recheckBreaker asks again right before the first byte, as the target may have
 // begun to fail while the request waited for a slot. g.mu is held.
 func (x *exchange) recheckBreaker(now time.Time, t *target) bool {
 	if x.force || x.trial || !t.breaker.Open() {
 		return true
 	}
-	switch t.breaker.Admit(now, x.mayTry()) {
+	switch t.breaker.Admit(now, !x.tracked) {
 	case breaker.Refuse:
 		x.failing = true
 		return false
--- a/process/gate/exchange.go
+++ b/process/gate/exchange.go
@@ -41,15 +41,13 @@
 	started  bool      // leave to send was given
 	sentAt   time.Time // when it was given
 	t        *target
-	crashes  int     // t.crashes when it started
-	ok       bool    // the target gave a whole answer
-	well     bool    // and not an error, whose time would mislead estimates
-	trial    bool    // of a failing target
-	isCall   bool    // made by a target while it runs a request
-	share    float64 // of a call that counts as a repeat
-	repeat   bool    // the request may have reached a target before
-	failing  bool    // the target began to fail while the request waited
-	judged   bool    // the breaker knows the outcome
+	crashes  int  // t.crashes when it started
+	ok       bool // the target gave a whole answer
+	well     bool // and not an error, whose time would mislead estimates
+	trial    bool // of a failing target
+	repeat   bool // the request may have reached a target before
+	failing  bool // the target began to fail while the request waited
+	judged   bool // the breaker knows the outcome
 	result   order.Result
 }
 
@@ -69,7 +67,6 @@
 		}
 		defer x.finishOrder()
 	}
-	x.countRequest()
 	if !x.passPoison() {
 		return
 	}
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -73,7 +73,6 @@
 	orders    *order.Registry // nil until Start
 	poison    *poison.Tracker
 	repeats   map[string]*retry.Budget // by service
-	calledAt  map[string]time.Time     // last call of a target known as such, by service
 	sharers   map[string]int           // targets of each service in the fleet
 	since     time.Time                // of sharers
 	queued    map[admission.Ticket]chan admission.Decision
@@ -122,7 +121,6 @@
 		waiting:   map[attempt.ID]chan struct{}{},
 		active:    map[attempt.ID]*exchange{},
 		repeats:   map[string]*retry.Budget{},
-		calledAt:  map[string]time.Time{},
 	}
 	g.peer = g.peerMux()
 	return g
--- a/process/gate/receive.go
+++ b/process/gate/receive.go
@@ -69,12 +69,6 @@
 	x.noWait = h.Get(attempt.HeaderNoWait) == "1"
 	x.repeat = h.Get(attempt.HeaderRepeat) == "1"
 	x.tracked = h.Get(attempt.HeaderIdempotent) != "1"
-	if text := h.Get(attempt.HeaderCallShare); text != "" {
-		x.isCall = true
-		if x.share, err = strconv.ParseFloat(text, 64); err != nil || !(x.share >= 0 && x.share <= 1) {
-			return fmt.Errorf("%s: want 0 to 1, got %q", attempt.HeaderCallShare, text)
-		}
-	}
 	if text := h.Get(attempt.HeaderAgeMS); text != "" {
 		age, err := strconv.ParseInt(text, 10, 64)
 		if err != nil || age < 0 || age > maxTimeout.Milliseconds() {
--- a/process/gate/repeat.go
+++ b/process/gate/repeat.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"strings"
 	"time"
 
 	"github.com/hyssopsill/hyssopsill/request/attempt"
@@ -9,16 +8,11 @@
 )
 
 const (
-	// repeatSafety is the part of the budget that gates use for services whose
-	// calls are known as such. The rest is for calls of runs whose caller is gone.
-	repeatSafety = 0.9
-	// blindSafety is the part for other services: calls that a repeated run makes
-	// count as repeats, and without names that tell, they made a third of all at
-	// orders of sunbake's scale-1.
-	blindSafety = 0.5
-	// callsKnown is the time for which a service's calls count as known after one
-	// was told.
-	callsKnown = time.Minute
+	// repeatSafety is the part of the budget that gates use. Calls that a
+	// repeated run makes count as repeats too, and no gate can tell them: with
+	// 0.75, sunbake's scale-1 had 204 repeats in 10 s at orders where 182 were
+	// allowed, a third of them calls of repeated page reads.
+	repeatSafety = 0.5
 	// sharersKnown is the time after the first view of the fleet during which the
 	// number of gates that share a budget may be too low. Until then only the
 	// share of first attempts counts.
@@ -37,37 +31,24 @@
 	g.sharers = counts
 }
 
-// countRequest counts a request once, with its first attempt, whether this gate
-// takes it or not.
-func (x *exchange) countRequest() {
-	g := x.g
-	if g.o.RetrySlack <= 0 || x.id.Number != 1 {
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	t := g.targets[x.target]
-	if t == nil {
-		return
-	}
-	now := g.now()
-	if !x.isCall {
-		g.repeatBudget(t.Service).First(now)
-		return
-	}
-	g.calledAt[t.Service] = now // the budget grows with the requests of callers only
-	g.repeatBudget(t.Service).Spend(now, x.share)
-}
-
-// passRepeat refuses a repeat that the budget does not have.
+// passRepeat counts an attempt and refuses a repeat that the budget does not
+// have.
 func (x *exchange) passRepeat() bool {
 	g := x.g
-	if g.o.RetrySlack <= 0 || !x.repeat {
+	if g.o.RetrySlack <= 0 {
 		return true
 	}
 	g.mu.Lock()
 	t := g.targets[x.target]
-	allowed := t == nil || g.repeatBudget(t.Service).Take(g.now())
+	allowed := true
+	if t != nil {
+		now, b := g.now(), g.repeatBudget(t.Service)
+		if x.repeat {
+			allowed = b.Take(now)
+		} else {
+			b.First(now)
+		}
+	}
 	g.mu.Unlock()
 	if !allowed {
 		x.refuse(attempt.VerdictRefused, attempt.ReasonRetryBudget, "the budget of repeats of the service is used up", 0)
@@ -75,45 +56,17 @@
 	return allowed
 }
 
-// CallShare tells whether a request is a call that a target of this gate makes
-// while it runs another request, and which part of the call counts as a repeat:
-// all of it when that run repeats a request or is a call of such a run. The name
-// of a call begins with that of the request for which it is made.
-func (g *Gate) CallShare(id attempt.RequestID) (float64, bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, t := range g.targets {
-		for x := range t.inFlight {
-			if parent := x.id.Request; len(parent) >= minParent && len(id) > len(parent) && strings.HasPrefix(string(id), string(parent)) {
-				if x.repeat {
-					return 1, true
-				}
-				return x.share, true
-			}
-		}
-	}
-	return 0, false
-}
-
-// minParent is the length from which names of requests are taken to be unlike
-// each other by chance.
-const minParent = 8
-
 // repeatBudget returns this gate's part of a service's budget. g.mu is held.
 func (g *Gate) repeatBudget(service string) *retry.Budget {
 	b := g.repeats[service]
 	if b == nil {
-		b = retry.NewBudget(retry.Options{Window: g.o.RetryWindow, Earlier: true})
+		b = retry.NewBudget(retry.Options{Share: repeatSafety * g.o.RetryShare, Window: g.o.RetryWindow})
 		g.repeats[service] = b
 	}
-	now, safety := g.now(), blindSafety
-	if at, ok := g.calledAt[service]; ok && now.Sub(at) < callsKnown {
-		safety = repeatSafety
-	}
 	perSecond := 0.0
-	if n := g.sharers[service]; n > 0 && now.Sub(g.since) >= sharersKnown {
-		perSecond = safety * g.o.RetrySlack / g.o.RetryWindow.Seconds() / float64(n)
+	if n := g.sharers[service]; n > 0 && g.now().Sub(g.since) >= sharersKnown {
+		perSecond = repeatSafety * g.o.RetrySlack / g.o.RetryWindow.Seconds() / float64(n)
 	}
-	b.SetPart(safety*g.o.RetryShare, perSecond)
+	b.SetPerSecond(perSecond)
 	return b
 }
--- a/process/gate/repeat_test.go
+++ b/process/gate/repeat_test.go
@@ -22,11 +22,7 @@
 // exchangeAt returns an exchange of the target t1 that repeats a request or not.
 func exchangeAt(g *Gate, repeat bool) *exchange {
 	r := httptest.NewRequestWithContext(context.Background(), http.MethodGet, "/", nil)
-	x := &exchange{g: g, w: httptest.NewRecorder(), r: r, target: "t1", id: attempt.ID{Request: "x", Number: 1}, idText: "x", repeat: repeat}
-	if repeat {
-		x.id.Number = 2
-	}
-	return x
+	return &exchange{g: g, w: httptest.NewRecorder(), r: r, target: "t1", idText: "x", repeat: repeat}
 }
 
 func newBudgetGate(t *testing.T, c *clock) *Gate {
@@ -56,12 +52,9 @@
 		c.now = c.now.Add(sharersKnown)
 		g.SetSharers(map[string]int{"shop": gates})
 		for range requests {
-			x := exchangeAt(g, false)
-			if x.countRequest(); !x.passRepeat() {
+			if !exchangeAt(g, false).passRepeat() {
 				t.Fatal("a first attempt is refused")
 			}
-			x.id.Number = 2 // the gate refused the first one for another reason
-			x.countRequest()
 		}
 		for range requests {
 			if exchangeAt(g, true).passRepeat() {
@@ -74,65 +67,6 @@
 	}
 }
 
-// Guards against repeats beyond the budget of a service whose calls come from
-// repeated runs: those count as repeats there, and calls are no requests that the
-// budget grows with.
-func TestCallsOfRepeatedRunsUseTheBudget(t *testing.T) {
-	c := &clock{now: time.Unix(1000, 0)}
-	g := newBudgetGate(t, c)
-	g.SetSharers(map[string]int{"shop": 1})
-	c.now = c.now.Add(sharersKnown)
-	g.SetSharers(map[string]int{"shop": 1})
-	const requests, calls, share = 400, 100, 0.25
-	for range requests {
-		exchangeAt(g, false).countRequest()
-	}
-	for i := range calls {
-		x := exchangeAt(g, false)
-		x.isCall = true
-		if float64(i%4) < 4*share {
-			x.share = 1
-		}
-		if x.countRequest(); !x.passRepeat() {
-			t.Fatal("the first attempt of a call is refused")
-		}
-	}
-	passed := 0
-	for range requests {
-		if exchangeAt(g, true).passRepeat() {
-			passed++
-		}
-	}
-	// The budget of the platform: a share of the requests and a slack, less the
-	// calls of repeated runs.
-	if most := 0.2*requests + 60 - calls*share; float64(passed) > most || float64(passed) < 0.75*most {
-		t.Errorf("%d repeats pass, the budget is %v", passed, most)
-	}
-}
-
-// Guards against a host that takes requests of callers for calls of its target,
-// or does not know which of those calls come from repeated runs.
-func TestCallShare(t *testing.T) {
-	g := newBudgetGate(t, &clock{now: time.Unix(1000, 0)})
-	for _, x := range []*exchange{
-		{id: attempt.ID{Request: "first-0001"}}, {id: attempt.ID{Request: "repeat-0002"}, repeat: true},
-		{id: attempt.ID{Request: "call-0003.0004"}, share: 1, isCall: true}, {id: attempt.ID{Request: "short"}, repeat: true},
-	} {
-		g.targets["t1"].inFlight[x] = struct{}{}
-	}
-	for id, want := range map[attempt.RequestID]struct {
-		share float64
-		call  bool
-	}{
-		"first-0001.7": {0, true}, "repeat-0002.7": {1, true}, "call-0003.0004.7": {1, true},
-		"other-0009": {0, false}, "repeat-0002": {0, false}, "short.7": {0, false},
-	} {
-		if share, call := g.CallShare(id); share != want.share || call != want.call {
-			t.Errorf("%s: %v %v, want %+v", id, share, call, want)
-		}
-	}
-}
-
 // Guards against gates that refuse repeats where entries keep the budget.
 func TestNoBudgetAtTheGate(t *testing.T) {
 	c := &clock{now: time.Unix(1000, 0)}
@@ -167,24 +101,6 @@
 	}
 }
 
-// Guards against a request whose second attempt is the trial of a failing target,
-// so that it fails where another target would have served it.
-func TestRepeatIsNoTrial(t *testing.T) {
-	b := newBench(t, 4, false)
-	b.x.SetFaults(standin.Faults{TruncateShare: 1})
-	idempotent := []string{attempt.HeaderIdempotent, "1"}
-	if r := b.send(id("r1"), "/a", time.Second, idempotent...); r.verdict != "failed" {
-		t.Fatalf("first attempt: %+v", r)
-	}
-	b.x.SetFaults(standin.Faults{})
-	if r := b.send(id("r2"), "/a", time.Second, append(idempotent, attempt.HeaderRepeat, "1")...); r.reason != "target-failing" {
-		t.Errorf("a repeat at a failing target: %s %s", r.verdict, r.reason)
-	}
-	if r := b.send(id("r3"), "/a", time.Second, idempotent...); r.verdict != "ran" {
-		t.Errorf("a first attempt as trial: %s %s", r.verdict, r.reason)
-	}
-}
-
 // Guards against a process that is replaced at its address and stays in use, and
 // against a late announcement of the old one that removes the new one.
 func TestNewProcessAtAnAddress(t *testing.T) {
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -116,15 +116,6 @@
 	return n, nil
 }
 
-// callShare tells the entry about the runs at the targets of this host, where
-// gates keep the budget of repeats and targets make calls through the entry.
-func (n *Node) callShare() func(attempt.RequestID) (float64, bool) {
-	if n.o.Settings.Defaults.RetrySlack <= 0 || n.o.Surface.CallerService == "" {
-		return nil
-	}
-	return n.gate.CallShare
-}
-
 // record keeps a decision record, counts it and writes its log line.
 func (n *Node) record(r record.Record) {
 	n.exporter.Record(r)
@@ -162,7 +153,7 @@
 		Surface: n.o.Surface, HostService: n.o.HostService, RetryShare: s.Defaults.RetryShare, GateJudges: s.Defaults.RetrySlack > 0,
 		HeaderBytes: int64(s.Limits.HeaderBytes), BodyBytes: s.Limits.BodyBytes,
 		Now: n.now, Rand: newRand(), Log: n.log, Reporter: n.metrics.Invariants, Platform: n.o.Platform,
-		CallShare: n.callShare(), Record: n.record, Observe: n.metrics.ObserveRequest, Quarantined: n.gate.Quarantined,
+		Record: n.record, Observe: n.metrics.ObserveRequest, Quarantined: n.gate.Quarantined,
 		Crashed: func(r poison.Report) { n.gate.MergePoison([]poison.Report{r}) },
 	})
 	n.metrics.Set("gate_running", expvar.Func(func() any { return n.gate.Running() }))
--- a/request/attempt/headers.go
+++ b/request/attempt/headers.go
@@ -33,7 +33,6 @@
 	HeaderIdempotent        = "Hyssopsill-Idempotent" // "1": the attempt may run again and is never withdrawn
 	HeaderForce             = "Hyssopsill-Force"      // "1": send also to a failing target, as there is no other
 	HeaderRepeat            = "Hyssopsill-Repeat"     // "1": the request may have reached a target before
-	HeaderCallShare         = "Hyssopsill-Call-Share" // of a call that a target makes: the part that counts as a repeat, 0 to 1
 	HeaderAgeMS             = "Hyssopsill-Age-Ms"     // since the request arrived at its entry, milliseconds
 	HeaderNoWait            = "Hyssopsill-No-Wait"    // "1": refuse as busy rather than queue
 	HeaderLong              = "Hyssopsill-Long"       // "1": learned to be long work
--- a/request/retry/budget.go
+++ b/request/retry/budget.go
@@ -10,9 +10,6 @@
 	PerSecond float64
 	// Window over which the budget is counted, whole seconds. Default 10s.
 	Window time.Duration
-	// Earlier counts the first attempts of the window before, or of the one half a
-	// window before, where they are more: demand that falls leaves work to repeat.
-	Earlier bool
 
 	// Unlimited grants every retry, as where gates keep the budget.
 	Unlimited bool
@@ -36,24 +33,24 @@
 // attempts of the same window plus PerSecond. It is not safe for concurrent use.
 type Budget struct {
 	o     Options
-	slots []slot // one per second of two windows
+	slots []slot // one per second of the window
 }
 
 type slot struct {
 	second int64
 	first  int
-	extra  float64
+	extra  int
 }
 
 // NewBudget returns the budget of one service.
 func NewBudget(o Options) *Budget {
 	o = o.withDefaults()
-	return &Budget{o: o, slots: make([]slot, 2*int(o.Window/time.Second))}
+	return &Budget{o: o, slots: make([]slot, int(o.Window/time.Second))}
 }
 
-// SetPart changes share and retries allowed in addition, as a part of what the
+// SetPerSecond changes the retries allowed in addition, as a part of what the
 // fleet may send follows the number of those that share it.
-func (b *Budget) SetPart(share, perSecond float64) { b.o.Share, b.o.PerSecond = share, perSecond }
+func (b *Budget) SetPerSecond(perSecond float64) { b.o.PerSecond = perSecond }
 
 // First counts a first attempt.
 func (b *Budget) First(now time.Time) { b.at(now).first++ }
@@ -68,32 +65,16 @@
 	return true
 }
 
-// Spend counts repeats that nobody asked for here, such as the calls that a
-// repeated run makes: n of them, which may be a part of one.
-func (b *Budget) Spend(now time.Time, n float64) { b.at(now).extra += n }
-
 func (b *Budget) left(now time.Time) float64 {
-	window := len(b.slots) / 2
-	first, extra := b.sum(now, 0)
-	if b.o.Earlier {
-		half, _ := b.sum(now, window/2)
-		whole, _ := b.sum(now, window)
-		first = max(first, half, whole)
-	}
-	return b.o.Share*float64(first) + b.o.PerSecond*float64(window) - extra
-}
-
-// sum counts the window that ended some seconds before now.
-func (b *Budget) sum(now time.Time, before int) (first int, extra float64) {
-	newest := now.Unix() - int64(before)
-	oldest := newest - int64(len(b.slots)/2) + 1
+	oldest := now.Unix() - int64(len(b.slots)) + 1
+	first, extra := 0, 0
 	for _, s := range b.slots {
-		if s.second >= oldest && s.second <= newest {
+		if s.second >= oldest {
 			first += s.first
 			extra += s.extra
 		}
 	}
-	return first, extra
+	return b.o.Share*float64(first) + b.o.PerSecond*float64(len(b.slots)) - float64(extra)
 }
 
 func (b *Budget) at(now time.Time) *slot {
--- a/request/retry/retry_test.go
+++ b/request/retry/retry_test.go
@@ -185,24 +185,16 @@
 		seconds = append(seconds, s)
 		now = now.Add(time.Second)
 	}
-	firsts := func(newest int) (n int) {
-		for i := max(0, newest-9); i <= newest; i++ {
-			n += seconds[i].first
-		}
-		return n
-	}
 	worst := -1e9
 	for i := range seconds {
 		if seconds[i].extra == 0 { // the bound is for the time of each retry
 			continue
 		}
-		first, extra := firsts(i), 0
+		first, extra := 0, 0
 		for _, s := range seconds[max(0, i-9) : i+1] {
+			first += s.first
 			extra += s.extra
 		}
-		if o.Earlier {
-			first = max(first, firsts(i-5), firsts(i-10))
-		}
 		worst = max(worst, float64(extra)-0.1*float64(first)-10)
 	}
 	return worst
@@ -212,8 +204,7 @@
 func TestBudget(t *testing.T) {
 	beyond := 0
 	rapid.Check(t, func(rt *rapid.T) {
-		o := Options{Earlier: rapid.Bool().Draw(rt, "earlier")}
-		if over := retriesUnder(rt, o); over > 1e-9 {
+		if over := retriesUnder(rt, Options{}); over > 1e-9 {
 			rt.Fatalf("%.1f retries beyond the budget", over)
 		}
 		if retriesUnder(rt, Options{Unlimited: true}) > 0 {
