--- a/cmd/hyssopsilld/e2e_test.go
+++ b/cmd/hyssopsilld/e2e_test.go
@@ -366,10 +366,10 @@
 	f.ready(ids...)
 	c := startCustomers(t, f, 8, f.nodes[0], f.nodes[1])
 	time.Sleep(time.Second)
-	f.nodes[2].relay.set(false, true) // it hears, its answers are lost
+	f.nodes[2].relay.Drop(false, true) // it hears, its answers are lost
 	time.Sleep(2 * time.Second)
-	f.nodes[2].relay.set(false, false)
-	f.nodes[2].relay.closeAll()
+	f.nodes[2].relay.Drop(false, false)
+	f.nodes[2].relay.Reset()
 	time.Sleep(500 * time.Millisecond)
 	f.nodes[3].signal(syscall.SIGSTOP)
 	time.Sleep(2 * time.Second)
@@ -400,7 +400,7 @@
 		}
 		wg.Wait()
 	}
-	f.nodes[1].relay.silenceOpen()
+	f.nodes[1].relay.Silence()
 	var wg sync.WaitGroup
 	answers := make([]answer, 6)
 	for i := range answers {
@@ -430,6 +430,33 @@
 	}
 }
 
+// Guards against a node that was paused while it told callers of its drain and
+// then closes its listener at once, which resets the connections that came
+// meanwhile.
+func TestPausedNodeAnswersWhatCameInItsNotice(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, false)
+	f.publish(testConfig)
+	f.addTarget(f.nodes[0], "t1", "shop")
+	f.ready("t1")
+	n := f.nodes[0]
+	n.signal(syscall.SIGTERM)
+	n.awaitOutput(t, `("kind":"drain")`)
+	n.signal(syscall.SIGSTOP)
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			if a := n.do("GET", "/kits", ""); a.err != nil {
+				t.Errorf("a request of the time of the notice: %v", a.err)
+			}
+		})
+	}
+	time.Sleep(settings.DefaultDrainNotice + 500*time.Millisecond)
+	n.signal(syscall.SIGCONT)
+	wg.Wait()
+	n.wait(t, 20*time.Second)
+}
+
 // Guards against a drain that cuts requests, takes new work after 3 s, or does
 // not end.
 func TestDrainCutsNothing(t *testing.T) {
--- a/process/node/drain.go
+++ b/process/node/drain.go
@@ -41,10 +41,7 @@
 	defer cut()
 	n.drainLimit.begin(n.o.Settings.DrainTimeout, n.endRequests, cut)
 	defer n.drainLimit.stop()
-	select {
-	case <-time.After(n.o.Settings.DrainNotice):
-	case <-ctx.Done():
-	}
+	awaitNotice(ctx, n.o.Settings.DrainNotice)
 	// Callers first: their requests may run at this node's own gate.
 	n.shutdown(ctx, n.servers.caller)
 	n.shutdown(ctx, n.servers.peerData)
@@ -52,6 +49,22 @@
 	n.log.Info().Msgf("node: drained in %s", n.now().Sub(begun).Round(time.Millisecond))
 }
 
+// noticeSteps is the number of parts of the notice. A process that is paused
+// meanwhile loses one of them: what arrives in the pause waits in the backlog of
+// the listener, which resets it when it closes.
+const noticeSteps = 10
+
+// awaitNotice waits until the process has run for the time of the notice.
+func awaitNotice(ctx context.Context, notice time.Duration) {
+	for range noticeSteps {
+		select {
+		case <-time.After(notice / noticeSteps):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // endRequests answers what still waits for a target, shortly before the process
 // is killed or ends by itself.
 func (n *Node) endRequests() {
