soak: the real programs under faults from outside

hyssopsill soak starts log, nodes and targets as processes, harms the links to gates through a loopback proxy, stops, pauses, kills and restarts processes, disturbs the log service, publishes configurations and sends a poisonous request, by a plan that follows from its seed. Targets write each run to a file, so that it outlives a kill. One report a run: JSON, a page with a plot, the history.

The relay of the separate-process tests moves here as soak.Proxy.

--- a/cmd/hyssopsill-standin/main.go
+++ b/cmd/hyssopsill-standin/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -41,6 +42,7 @@
 				&cli.IntFlag{Name: "slots", Value: 6},
 				&cli.DurationFlag{Name: "ttl", Value: 3 * time.Second},
 				&cli.Uint64Flag{Name: "seed", Value: 1},
+				&cli.StringFlag{Name: "executions", Usage: "`FILE` to which a JSON line is added for each request that begins to run"},
 			}},
 		},
 	}
@@ -68,10 +70,14 @@
 	if err != nil {
 		return err
 	}
+	executed, err := executions(c.String("executions"))
+	if err != nil {
+		return err
+	}
 	t := target.New(target.Options{
 		ID: c.String("id"), Service: c.String("service"), Slots: c.Int("slots"), TTL: c.Duration("ttl"),
 		Node: c.String("node"), Address: l.Addr().String(), Seed: c.Uint64("seed"),
-		Crash: func() { os.Exit(1) },
+		Crash: func() { os.Exit(1) }, Executed: executed,
 	})
 	fmt.Printf("target: listening on %s, control on %s\n", l.Addr(), control.Addr())
 	go func() { _ = serve(ctx, control, t.ControlHandler()) }()
@@ -79,6 +85,28 @@
 	return serve(ctx, l, t)
 }
 
+// executions returns a function that adds a line to a file. A line is written at
+// once, so that it outlives a process that is killed.
+func executions(name string) (func(target.Execution), error) {
+	if name == "" {
+		return nil, nil
+	}
+	file, err := os.OpenFile(name, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	return func(x target.Execution) {
+		line, err := json.Marshal(x)
+		if err == nil {
+			_, err = file.Write(append(line, '\n'))
+		}
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "target: executions:", err)
+			os.Exit(1)
+		}
+	}, nil
+}
+
 func serve(ctx context.Context, l net.Listener, h http.Handler) error {
 	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
--- a/cmd/hyssopsill/root.go
+++ b/cmd/hyssopsill/root.go
@@ -43,7 +43,7 @@
 // commands lists the commands in the order of the help text. A command that is
 // not built returns nil.
 var commands = []func(*app) *cli.Command{
-	configCommand, questionnaireCommand, targetsCommand, explainCommand, reportCommand, demoCommand, benchCommand,
+	configCommand, questionnaireCommand, targetsCommand, explainCommand, reportCommand, demoCommand, benchCommand, soakCommand,
 }
 
 // run executes one command line and returns the exit code.
--- /dev/null
+++ b/cmd/hyssopsill/soak.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/hyssopsill/hyssopsill/soak"
+)
+
+// errSoakBroken reports a soak in which a promise was broken.
+var errSoakBroken = errors.New("soak: a promise is broken")
+
+func soakCommand(a *app) *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "run the real programs on loopback, inject faults from outside and check the fleet's promises",
+		Description: "Each seed has a directory with report.html, report.json, history.json and the logs of all processes. " +
+			"Ends only processes that it started.",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Usage: "first seed (default: drawn)"},
+			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of runs, with consecutive seeds"},
+			&cli.DurationFlag{Name: "for", Value: soak.DefaultFaults, Usage: "time in which faults begin"},
+			&cli.IntFlag{Name: "nodes", Value: soak.DefaultNodes},
+			&cli.IntFlag{Name: "targets", Value: soak.DefaultTargets},
+			&cli.StringFlag{Name: "binaries", Usage: "`DIR` of hyssopsilld and hyssopsill-standin (default: that of this program)"},
+			&cli.StringFlag{Name: "dir", Usage: "`DIR` for the reports (default: a temporary one)"},
+		},
+		Action: a.soak,
+	}
+}
+
+func (a *app) soak(ctx context.Context, c *cli.Command) error {
+	if c.Int("seeds") < 1 || c.Duration("for") <= 0 || c.Int("nodes")+c.Int("targets") > soak.MaxProcesses {
+		return badInputf("soak: want --seeds of 1 or more, a positive --for, and at most %d nodes and targets", soak.MaxProcesses)
+	}
+	binaries, dir, err := soakDirs(c.String("binaries"), c.String("dir"))
+	if err != nil {
+		return err
+	}
+	first := c.Uint64("seed")
+	if !c.IsSet("seed") {
+		first = uint64(rand.Uint32()) // short enough to be typed again
+	}
+	broken := 0
+	reports := []soak.Report{}
+	for i := range uint64(c.Int("seeds")) {
+		seed := first + i
+		r, err := soak.Run(ctx, soak.Options{Seed: seed, Nodes: c.Int("nodes"), Targets: c.Int("targets"), Faults: c.Duration("for"),
+			Binaries: binaries, Dir: filepath.Join(dir, fmt.Sprintf("seed-%d", seed))})
+		if err != nil {
+			return fmt.Errorf("soak: seed %d: %w", seed, err)
+		}
+		reports = append(reports, r)
+		if !r.OK {
+			broken++
+		}
+		if c.String("output") != "json" {
+			writeSoakReport(a.stdout, r)
+		}
+	}
+	if err := a.print(c, reports, func(w io.Writer) { fmt.Fprintf(w, "%d of %d runs broke a promise\n", broken, len(reports)) }); err != nil {
+		return err
+	}
+	if broken > 0 {
+		return errSoakBroken
+	}
+	return nil
+}
+
+func soakDirs(binaries, dir string) (string, string, error) {
+	if binaries == "" {
+		program, err := os.Executable()
+		if err != nil {
+			return "", "", err
+		}
+		binaries = filepath.Dir(program)
+	}
+	for _, name := range []string{"hyssopsill", "hyssopsilld", "hyssopsill-standin"} {
+		if _, err := os.Stat(filepath.Join(binaries, name)); err != nil {
+			return "", "", badInputf("soak: --binaries %s: %w", binaries, err)
+		}
+	}
+	if dir == "" {
+		var err error
+		if dir, err = os.MkdirTemp("", "hyssopsill-soak"); err != nil {
+			return "", "", err
+		}
+	}
+	return binaries, dir, nil
+}
+
+func writeSoakReport(w io.Writer, r soak.Report) {
+	events := 0
+	for _, n := range r.Events {
+		events += n
+	}
+	fmt.Fprintf(w, "seed %d: %d events, %d calls %v, %d violations, %d faults not injected, %.0f s, %s\n", r.Seed, events, r.Calls,
+		r.Outcomes, len(r.Violations), len(r.Notes), r.Seconds, r.Dir)
+	for _, v := range r.Violations {
+		fmt.Fprintf(w, "  %s: %s\n", v.Promise, v.Detail)
+	}
+}
--- a/cmd/hyssopsilld/harness_test.go
+++ b/cmd/hyssopsilld/harness_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -21,6 +20,7 @@
 
 	"github.com/hyssopsill/hyssopsill/eventlog"
 	"github.com/hyssopsill/hyssopsill/platform"
+	"github.com/hyssopsill/hyssopsill/soak"
 	"github.com/hyssopsill/hyssopsill/version/config"
 )
 
@@ -133,7 +133,7 @@
 	name                                   string
 	file                                   string
 	caller, data, control, announce, admin string
-	relay                                  *relay // between other nodes and this node's gate, nil without
+	relay                                  *soak.Proxy // between other nodes and this node's gate, nil without
 	domain                                 string
 }
 
@@ -158,7 +158,12 @@
 	any := "127.0.0.1:0"
 	n := &nodeProcess{caller: any, data: any, control: any, announce: any, admin: any, domain: domain, name: name}
 	if withRelay {
-		n.relay = newRelay(f.t)
+		relay, err := soak.NewProxy()
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		f.t.Cleanup(relay.Close)
+		n.relay = relay
 	}
 	n.file = filepath.Join(f.t.TempDir(), name+".toml")
 	f.startNode(n)
@@ -171,7 +176,7 @@
 	f.t.Helper()
 	advertise := ""
 	if n.relay != nil {
-		advertise = n.relay.address()
+		advertise = n.relay.Address()
 	}
 	var seeds []string
 	for _, other := range f.nodes {
@@ -199,7 +204,7 @@
 		*to = n.awaitOutput(f.t, `"`+key+`":"([^"]+)"`)
 	}
 	if n.relay != nil {
-		n.relay.setTarget(n.data)
+		n.relay.SetTarget(n.data)
 	}
 }
 
@@ -411,99 +416,3 @@
 	}
 	return a
 }
-
-// relay passes TCP connections on and can drop one or both directions.
-type relay struct {
-	listener net.Listener
-	to       string
-	mu       sync.Mutex
-	dropOut  bool // bytes towards the node
-	dropBack bool // bytes from the node
-	conns    []net.Conn
-	silent   map[net.Conn]bool // connections that pass nothing any more
-}
-
-func newRelay(t testing.TB) *relay {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	r := &relay{listener: l, silent: map[net.Conn]bool{}}
-	go r.run()
-	t.Cleanup(func() { _ = l.Close(); r.closeAll() })
-	return r
-}
-
-func (r *relay) address() string { return r.listener.Addr().String() }
-
-func (r *relay) setTarget(address string) {
-	r.mu.Lock()
-	r.to = address
-	r.mu.Unlock()
-}
-
-func (r *relay) set(dropOut, dropBack bool) {
-	r.mu.Lock()
-	r.dropOut, r.dropBack = dropOut, dropBack
-	r.mu.Unlock()
-}
-
-// silenceOpen makes the open connections silent for ever; new ones work.
-func (r *relay) silenceOpen() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, c := range r.conns {
-		r.silent[c] = true
-	}
-}
-
-func (r *relay) closeAll() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, c := range r.conns {
-		_ = c.Close()
-	}
-	r.conns = nil
-}
-
-func (r *relay) run() {
-	for {
-		in, err := r.listener.Accept()
-		if err != nil {
-			return
-		}
-		r.mu.Lock()
-		to := r.to
-		r.mu.Unlock()
-		out, err := net.Dial("tcp", to)
-		if err != nil {
-			_ = in.Close()
-			continue
-		}
-		r.mu.Lock()
-		r.conns = append(r.conns, in, out)
-		r.mu.Unlock()
-		go r.copy(out, in, &r.dropOut)
-		go r.copy(in, out, &r.dropBack)
-	}
-}
-
-func (r *relay) copy(to, from net.Conn, drop *bool) {
-	defer func() { _ = to.Close() }()
-	buffer := make([]byte, 32<<10)
-	for {
-		n, err := from.Read(buffer)
-		r.mu.Lock()
-		dropped := *drop || r.silent[from]
-		r.mu.Unlock()
-		if n > 0 && !dropped {
-			if _, err := to.Write(buffer[:n]); err != nil {
-				return
-			}
-		}
-		if err != nil {
-			return
-		}
-	}
-}
--- /dev/null
+++ b/soak/history.go
@@ -0,0 +1,94 @@
+package soak
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/hyssopsill/hyssopsill/process/telemetry"
+	"github.com/hyssopsill/hyssopsill/request/attempt"
+	"github.com/hyssopsill/hyssopsill/standin/target"
+)
+
+// Stop is a graceful stop of a node: from SIGTERM to the end of the process.
+type Stop struct {
+	Node  string    `json:"node"`
+	Begun time.Time `json:"begun"`
+	Ended time.Time `json:"ended"`
+}
+
+// Drain is the time in which a target that leaves must get no new work.
+type Drain struct {
+	Target string    `json:"target"`
+	From   time.Time `json:"from"`
+	To     time.Time `json:"to"`
+}
+
+// View is what the admin listener of a node said.
+type View struct {
+	At          time.Time                `json:"at"`
+	Node        string                   `json:"node"`
+	Incarnation attempt.Incarnation      `json:"incarnation"` // of the process
+	Version     int64                    `json:"version"`
+	Targets     []telemetry.TargetStatus `json:"targets"`
+}
+
+// History is what callers, targets and the soak itself saw of a run.
+type History struct {
+	Plan       Plan               `json:"plan"`
+	Begun      time.Time          `json:"begun"`
+	Calls      []Call             `json:"calls"`
+	Executions []target.Execution `json:"executions"`
+	Stops      []Stop             `json:"stops"`
+	Drains     []Drain            `json:"drains"`
+	Starts     []time.Time        `json:"starts"` // of node processes after the first ones
+	Views      []View             `json:"views"`
+	Stuck      []string           `json:"stuck"`   // nodes that did not stop by themselves
+	Unready    string             `json:"unready"` // why the fleet did not recover
+	Notes      []string           `json:"notes"`   // faults that could not be injected
+
+	mu sync.Mutex
+}
+
+// edit changes the history under its lock.
+func (h *History) edit(change func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	change()
+}
+
+func (h *History) notef(format string, args ...any) {
+	h.edit(func() { h.Notes = append(h.Notes, fmt.Sprintf(format, args...)) })
+}
+
+// readExecutions reads the lines that the targets added to a file.
+func (h *History) readExecutions(name string) error {
+	file, err := os.Open(name)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil // nothing was run
+	}
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }() // only read
+	for in, number := bufio.NewReader(file), 1; ; number++ {
+		line, err := in.ReadBytes('\n')
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		var x target.Execution
+		if err := json.Unmarshal(line, &x); err != nil {
+			return fmt.Errorf("%s:%d: %w", name, number, err)
+		}
+		h.Executions = append(h.Executions, x)
+	}
+}
--- /dev/null
+++ b/soak/report.go
@@ -0,0 +1,141 @@
+package soak
+
+import (
+	"bytes"
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"html/template"
+	"image/color"
+	"os"
+	"path/filepath"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"github.com/hyssopsill/hyssopsill/request/attempt"
+)
+
+// Report is the result of a run. Its JSON stands in report.json of the run's
+// directory, beside history.json and report.html.
+type Report struct {
+	Seed       uint64         `json:"seed"`
+	OK         bool           `json:"ok"`
+	Seconds    float64        `json:"seconds"`
+	Events     map[Kind]int   `json:"events"`
+	Calls      int            `json:"calls"`
+	Outcomes   map[string]int `json:"outcomes"`
+	Executions int            `json:"executions"`
+	Views      int            `json:"views"`
+	Stops      int            `json:"stops"`
+	Violations []Violation    `json:"violations"`
+	Notes      []string       `json:"notes"`
+	Dir        string         `json:"dir"`
+}
+
+func newReport(o Options, h *History) (Report, error) {
+	r := Report{Seed: o.Seed, Seconds: time.Since(h.Begun).Seconds(), Events: map[Kind]int{}, Calls: len(h.Calls), Outcomes: map[string]int{},
+		Executions: len(h.Executions), Views: len(h.Views), Stops: len(h.Stops), Violations: Check(h), Notes: h.Notes, Dir: o.Dir}
+	r.OK = len(r.Violations) == 0
+	for _, e := range h.Plan.Events {
+		r.Events[e.Kind]++
+	}
+	for i := range h.Calls {
+		r.Outcomes[outcomeOf(&h.Calls[i])]++
+	}
+	return r, r.write(o.Dir, h)
+}
+
+func outcomeOf(c *Call) string {
+	switch {
+	case c.Broken != "":
+		return "no answer"
+	case c.Outcome == attempt.Answered && c.Status >= 500:
+		return "answered with an error"
+	}
+	return string(c.Outcome)
+}
+
+func (r *Report) write(dir string, h *History) error {
+	page, err := r.page(h)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(dir, "report.html"), page, 0o600); err != nil {
+		return err
+	}
+	for name, v := range map[string]any{"report.json": r, "history.json": h} {
+		data, err := json.MarshalIndent(v, "", " ")
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(filepath.Join(dir, name), data, 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+//go:embed report.html
+var pageText string
+
+var pageTemplate = template.Must(template.New("report").Parse(pageText))
+
+func (r *Report) page(h *History) ([]byte, error) {
+	chart, err := drawCalls(h)
+	if err != nil {
+		return nil, err
+	}
+	var b bytes.Buffer
+	err = pageTemplate.Execute(&b, struct {
+		*Report
+		Plan  Plan
+		Chart template.HTML
+	}{r, h.Plan, template.HTML(chart)}) // drawn here, from numbers only
+	return b.Bytes(), err
+}
+
+// drawCalls draws the calls of each second by outcome, as an <svg> element.
+func drawCalls(h *History) (string, error) {
+	p := plot.New()
+	p.X.Label.Text, p.Y.Label.Text = "s", "calls that ended"
+	p.Legend.Top = true
+	last := 1
+	counts := map[string]map[int]int{}
+	for i := range h.Calls {
+		c := &h.Calls[i]
+		second := int(c.Ended.Sub(h.Begun).Seconds())
+		last = max(last, second)
+		name := outcomeOf(c)
+		if counts[name] == nil {
+			counts[name] = map[int]int{}
+		}
+		counts[name][second]++
+	}
+	for i, name := range []string{string(attempt.Answered), "answered with an error", string(attempt.NotRun), string(attempt.Unknown), "no answer"} {
+		points := make(plotter.XYs, last+1)
+		for s := range points {
+			points[s].X, points[s].Y = float64(s), float64(counts[name][s])
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return "", fmt.Errorf("plot: %w", err)
+		}
+		line.Color = []color.Color{color.RGBA{G: 0x80, A: 0xff}, color.RGBA{R: 0xe0, G: 0x80, A: 0xff}, color.RGBA{B: 0xc0, A: 0xff},
+			color.RGBA{R: 0xc0, A: 0xff}, color.Black}[i]
+		p.Add(line)
+		p.Legend.Add(name, line)
+	}
+	canvas := vgsvg.New(9*vg.Inch, 3.5*vg.Inch)
+	p.Draw(draw.New(canvas))
+	var b bytes.Buffer
+	if _, err := canvas.WriteTo(&b); err != nil {
+		return "", fmt.Errorf("plot: %w", err)
+	}
+	_, element, _ := bytes.Cut(b.Bytes(), []byte("<svg"))
+	return "<svg" + string(element), nil
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,95 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+var binaries string
+
+// TestMain builds the programs once; the soaks start them as processes.
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "hyssopsill-soak-test")
+	if err != nil {
+		panic(err)
+	}
+	binaries = dir
+	build := exec.Command("go", "build", "-o", dir, "../cmd/hyssopsilld", "../cmd/hyssopsill-standin", "../cmd/hyssopsill")
+	build.Stderr = os.Stderr
+	code := 1
+	if build.Run() == nil {
+		code = m.Run()
+	}
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// regressions are the seeds that ever failed, with their cause.
+var regressions = []struct {
+	seed   uint64
+	faults time.Duration
+	cause  string
+}{
+	{41, 8 * time.Second, "no-cut: a node paused during its drain notice closed its listener with connections in the backlog"},
+}
+
+func soakOnce(t *testing.T, o Options) {
+	t.Helper()
+	o.Binaries, o.Dir = binaries, filepath.Join(t.TempDir(), "run")
+	r, err := Run(context.Background(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !r.OK {
+		t.Errorf("seed %d: %+v", o.Seed, r.Violations)
+	}
+	if r.Outcomes["answered"] == 0 || r.Executions == 0 || r.Views == 0 {
+		t.Errorf("seed %d shows nothing: %+v", o.Seed, r)
+	}
+	for _, name := range []string{"report.json", "report.html", "history.json"} {
+		if _, err := os.Stat(filepath.Join(o.Dir, name)); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// Guards against broken promises under faults, and against a soak that shows
+// nothing.
+func TestShortSoak(t *testing.T) {
+	t.Parallel()
+	soakOnce(t, Options{Seed: 3, Faults: 4 * time.Second})
+}
+
+// Guards against the faults that earlier seeds found.
+func TestRegressionSeeds(t *testing.T) {
+	t.Parallel()
+	for _, c := range regressions {
+		t.Run(fmt.Sprint(c.seed), func(t *testing.T) {
+			t.Log(c.cause)
+			soakOnce(t, Options{Seed: c.seed, Faults: c.faults})
+		})
+	}
+}
+
+// Guards against a soak that leaves files of an earlier run to be read as its
+// own, or that starts more than the machine may take.
+func TestRunRefusesBadOptions(t *testing.T) {
+	dir := t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, "executions.jsonl"), nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Run(context.Background(), Options{Dir: dir, Binaries: binaries}); err == nil {
+		t.Error("a directory with files is taken")
+	}
+	if _, err := Run(context.Background(), Options{Dir: filepath.Join(dir, "new"), Binaries: binaries, Nodes: MaxProcesses}); err == nil {
+		t.Error("too many processes are taken")
+	}
+	if _, err := Run(context.Background(), Options{Dir: filepath.Join(dir, "none"), Binaries: dir}); err == nil {
+		t.Error("a directory without programs is taken")
+	}
+}
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -31,6 +31,18 @@
 	// incarnation.
 	Crash func()
 	Seed  uint64
+	// Executed is called when a request begins to run, or crashes the target.
+	Executed func(Execution)
+}
+
+// Execution is one run of a request, as an effect outside the target keeps it.
+type Execution struct {
+	At      time.Time         `json:"at"`
+	Target  string            `json:"target"`
+	Method  string            `json:"method"`
+	Request attempt.RequestID `json:"request"`
+	Work    string            `json:"work,omitempty"`  // order key, or X-Work
+	Crash   string            `json:"crash,omitempty"` // the text on which the target crashes
 }
 
 // Counts are what a target did since its start.
@@ -135,6 +147,7 @@
 		return // the gate broke off the request
 	}
 	if f.CrashOn != "" && (strings.Contains(r.URL.String(), f.CrashOn) || strings.Contains(body.text, f.CrashOn)) {
+		t.executed(r, f.CrashOn)
 		t.crash()
 		panic(http.ErrAbortHandler)
 	}
@@ -143,6 +156,7 @@
 		return
 	}
 	defer t.end(r)
+	t.executed(r, "")
 	t.work(r, f)
 	if f.Mute {
 		<-r.Context().Done()
@@ -155,6 +169,18 @@
 	t.answer(w, r, f, body)
 }
 
+func (t *Target) executed(r *http.Request, crash string) {
+	if t.o.Executed == nil {
+		return
+	}
+	work := r.Header.Get(attempt.HeaderIdempotencyKey)
+	if work == "" {
+		work = r.Header.Get("X-Work")
+	}
+	t.o.Executed(Execution{At: time.Now(), Target: t.o.ID, Method: r.Method, Work: work, Crash: crash,
+		Request: attempt.RequestID(r.Header.Get(attempt.HeaderRequestID))})
+}
+
 func customerAllowed(f Faults, r *http.Request) bool {
 	if len(f.OnlyCustomers) == 0 {
 		return true
