gate: an error at once is the target's own also where the usual time is unknown

That holds after each start of a gate.

100 ms are now taken for an unknown usual time. The test failed first.

--- a/process/gate/breaker.go
+++ b/process/gate/breaker.go
@@ -50,6 +50,11 @@
 // at once or not at all.
 const doubtfulShare = 0.3
 
+// usualUnknown is taken for the usual time of work of which this gate has seen
+// none, as after a start: errors of a target's own come within some milliseconds,
+// and the shortest work of the platform takes 160 ms.
+const usualUnknown = 100 * time.Millisecond
+
 // answered judges the target by the status of its answer.
 func (x *exchange) answered(status int) {
 	outcome := breaker.Success
@@ -59,6 +64,9 @@
 		usual := x.g.admission.Expected(x.target, x.class, x.long)
 		took := x.service(x.g.now())
 		x.g.mu.Unlock()
+		if usual <= 0 {
+			usual = usualUnknown
+		}
 		if float64(took) > doubtfulShare*float64(usual) {
 			outcome = breaker.Doubtful
 		}
--- a/process/gate/repeat_test.go
+++ b/process/gate/repeat_test.go
@@ -101,6 +101,19 @@
 	}
 }
 
+// Guards against a gate that has just started and sends work to a target that
+// fails at once, since it does not know the usual time of the work yet.
+func TestFirstErrorOpensTheBreaker(t *testing.T) {
+	b := newBench(t, 4, false)
+	b.x.SetFaults(standin.Faults{FailShare: 1})
+	if r := b.send(id("r1"), "/a", time.Minute); r.status != http.StatusInternalServerError {
+		t.Fatalf("first attempt: %+v", r)
+	}
+	if r := b.send(id("r2"), "/a", time.Minute); r.reason != "target-failing" {
+		t.Errorf("an order after the first error: %d %s %s", r.status, r.verdict, r.reason)
+	}
+}
+
 // Guards against a process that is replaced at its address and stays in use, and
 // against a late announcement of the old one that removes the new one.
 func TestNewProcessAtAnAddress(t *testing.T) {
