entry: a target whose connection went silent is the last resort

TestSilentConnectionsAreReplaced once ended with 502 path-failed after 1.7 s instead of a retry at the only target. Read from the code: when the path counts as down by the time of the retry, the only target is out of rotation, and the choice of a last resort left it out since the request had been there. That gives just this answer after this time. TestReplacedTargetIsTheLastResort failed first.

--- a/process/entry/failing.go
+++ b/process/entry/failing.go
@@ -14,6 +14,10 @@
 // called failing, unless the gate names a time.
 const failingFor = 300 * time.Millisecond
 
+// lastResortWeight is the weight of a target out of rotation that is asked when
+// there is no other: any other target is preferred.
+const lastResortWeight = 0.01
+
 // noteFailing notes a gate's word on whether its target fails. e.mu is held.
 func (e *Entry) noteFailing(now time.Time, r *result) {
 	switch {
@@ -46,20 +50,32 @@
 
 // chooseFailing picks a target for which its gate must make an exception: all
 // usable targets fail or were refused for it, so that the request has nothing to
-// lose.
+// lose. A target of which only the connection was given up is one of them, also
+// when its path counts as down by then: a new connection may work.
 func (q *request) chooseFailing(ctx context.Context, d retry.Decision) (*try, bool) {
 	e := q.e
 	var exclude []string // targets that the request may have reached
+	replaced := map[string]bool{}
 	for _, a := range q.history {
-		if a.Reason != attempt.ReasonTargetFailing {
+		switch {
+		case a.replaced:
+			replaced[a.Target] = true
+		case a.Reason != attempt.ReasonTargetFailing:
 			exclude = append(exclude, a.Target)
 		}
 	}
+	state := func(key string) health.State {
+		s := e.health.State(key)
+		if replaced[key] && s.Weight <= 0 {
+			s.Weight = lastResortWeight
+		}
+		return s
+	}
 	f := e.fleet.Load()
 	e.mu.Lock()
 	now := e.now()
 	query := selection.Query{Service: q.service, ExcludeTargets: exclude, Long: q.long, Distance: e.distance(q.match.Route.ID)}
-	c, ok := e.selector.Pick(now, query, e.health.State)
+	c, ok := e.selector.Pick(now, query, state)
 	l, known := f.targets[c.Target]
 	ok = ok && known
 	if ok {
