--- a/process/entry/run.go
+++ b/process/entry/run.go
@@ -36,6 +36,10 @@
 	var best *result // an answer that a further attempt may improve on
 	for {
 		t, ok := q.choose(ctx, next)
+		if !ok && q.awaitView(ctx) {
+			next = q.again()
+			continue
+		}
 		if !ok {
 			t, ok = q.chooseFailing(ctx, next)
 		}
