entry: a connection to a gate is given up after 0.2 s

A connection takes one way there and back, at most 0.1 s between regions, and nothing was sent when it is given up, so that another attempt is free.

--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -95,7 +95,9 @@
 
 // Bounds of the connections to gates.
 const (
-	gateDialTimeout = 500 * time.Millisecond
+	// gateDialTimeout is twice the longest way there and back between regions.
+	// A request to a node that is cut off waits for it before it asks another.
+	gateDialTimeout = 200 * time.Millisecond
 	gateIdle        = 256
 	gateIdleTimeout = 60 * time.Second
 )
