--- a/cmd/hyssopsill/explain_logs.go
+++ b/cmd/hyssopsill/explain_logs.go
@@ -74,6 +74,8 @@
 			fmt.Fprintln(w, "\n"+title)
 		}
 	}
+	section("Calls that its targets made:", len(x.Calls))
+	writeRecords(w, x.Calls)
 	section("Around it:", len(x.Around))
 	writeRecords(w, x.Around)
 	section("Other lines:", len(x.Notes))
--- a/process/logfile/explain.go
+++ b/process/logfile/explain.go
@@ -14,6 +14,9 @@
 // time, and what they lack.
 type Account struct {
 	Records []record.Record `json:"records"`
+	// Calls are the requests that targets made while they ran the request. Their
+	// names begin with its name, followed by a separator.
+	Calls []record.Record `json:"calls"`
 	// Around are changes that concern the targets and nodes of the request, from
 	// shortly before it to shortly after.
 	Around  []record.Record `json:"around"`
@@ -41,6 +44,9 @@
 		case r.Request != nil && r.Request.ID == id:
 			a.Records = append(a.Records, *r)
 			parts.add(r)
+		case r.Request != nil && isCall(r.Request.ID, id):
+			a.Calls = append(a.Calls, *r)
+			parts.add(r)
 		case r.Change != nil && r.Change.Request == id:
 			a.Records = append(a.Records, *r)
 		}
@@ -60,6 +66,12 @@
 	return a
 }
 
+// isCall reports whether a request is a call made for another one, by its name.
+func isCall(id, parent attempt.RequestID) bool {
+	rest, ok := strings.CutPrefix(string(id), string(parent))
+	return ok && len(rest) > 1 && strings.ContainsAny(rest[:1], ".-_/:")
+}
+
 // Target tells what happened to a target in a range of time; to is exclusive,
 // and a zero time is open.
 func (l *Log) Target(target string, from, to time.Time) Account {
@@ -81,7 +93,7 @@
 
 // account returns an account with what all questions share.
 func (l *Log) account() Account {
-	a := Account{Records: []record.Record{}, Around: []record.Record{}, Notes: []Note{}, Nodes: l.Spans(), Skipped: l.Skipped, Missing: []string{}}
+	a := Account{Records: []record.Record{}, Calls: []record.Record{}, Around: []record.Record{}, Notes: []Note{}, Nodes: l.Spans(), Skipped: l.Skipped, Missing: []string{}}
 	if a.Skipped == nil {
 		a.Skipped = []Skipped{}
 	}
@@ -100,6 +112,7 @@
 func (a *Account) sort() {
 	byTime := func(x, y record.Record) int { return x.At.Compare(y.At) }
 	slices.SortStableFunc(a.Records, byTime)
+	slices.SortStableFunc(a.Calls, byTime)
 	slices.SortStableFunc(a.Around, byTime)
 	slices.SortStableFunc(a.Notes, func(x, y Note) int { return x.At.Compare(y.At) })
 }
--- a/process/logfile/read_test.go
+++ b/process/logfile/read_test.go
@@ -75,6 +75,22 @@
 	}
 }
 
+// Guards against a failed request whose cause lies in a call that its target
+// made, and against requests that are taken for such calls.
+func TestCallsBelongToTheRequest(t *testing.T) {
+	var l Log
+	for _, id := range []string{"r1", "r1.c7", "r12", "r2.c7"} {
+		text := strings.ReplaceAll(refusedLine, `"id":"r1"`, `"id":"`+id+`"`)
+		if err := l.Read("all.log", strings.NewReader(text+"\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	a := l.Request("r1")
+	if len(a.Records) != 1 || len(a.Calls) != 1 || a.Calls[0].Request.ID != "r1.c7" {
+		t.Errorf("%d records, calls %+v", len(a.Records), a.Calls)
+	}
+}
+
 // Guards against a target's story with what lies outside the range.
 func TestStoryOfATarget(t *testing.T) {
 	var l Log
