entry: one function picks the next target; retry: one count of attempts that reached

Tidying without a change of behaviour: run() had three cases of no target in a row, and countReached stood twice. A test of its own for the wait for the first target.

--- a/process/entry/failing_test.go
+++ b/process/entry/failing_test.go
@@ -74,3 +74,29 @@
 		t.Errorf("status %d after %d refusals, %d forced attempts", resp.StatusCode, refused.Load(), forced.Load())
 	}
 }
+
+// Guards against a request that is refused although the first target of its
+// service becomes known a moment later, as after a start of all nodes.
+func TestRequestAwaitsTheFirstTarget(t *testing.T) {
+	s := newTestEntryWith(t, strings.ReplaceAll(testConfig, `"500ms"`, `"10m"`), func(w http.ResponseWriter, r *http.Request) {
+		gateAnswer(w, r.Header.Get(attempt.HeaderAttempt), "ok", "ok")
+	}, false, 1)
+	e := s.Config.Handler.(*Entry)
+	e.o.Surface.StrictStatus = true
+	known := *e.fleet.Load().members["g1"]
+	e.SetView(membership.View{Self: "n1"})
+	go func() {
+		for e.Active() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		e.SetView(membership.View{Self: "n1", Members: []membership.Member{known}})
+	}()
+	resp, err := http.Post(s.URL+"/orders", "", http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+}
--- a/process/entry/run.go
+++ b/process/entry/run.go
@@ -35,19 +35,12 @@
 	next := retry.Decision{Action: retry.Retry, Number: 1}
 	var best *result // an answer that a further attempt may improve on
 	for {
-		t, ok := q.choose(ctx, next)
-		if !ok && q.awaitView(ctx) {
+		t, again := q.pick(ctx, next)
+		if again {
 			next = q.again()
 			continue
 		}
-		if !ok {
-			t, ok = q.chooseFailing(ctx, next)
-		}
-		if !ok && q.awaitTarget(ctx) {
-			next = q.again()
-			continue
-		}
-		if !ok {
+		if t == nil {
 			q.conclude(q.outcome(), best, "no further target is in rotation")
 			return
 		}
@@ -84,6 +77,21 @@
 	}
 }
 
+// pick chooses the target of the next attempt, a failing one when there is no
+// other. Without any it may pause and tell to look again.
+func (q *request) pick(ctx context.Context, next retry.Decision) (t *try, again bool) {
+	if t, ok := q.choose(ctx, next); ok {
+		return t, false
+	}
+	if q.awaitView(ctx) {
+		return nil, true
+	}
+	if t, ok := q.chooseFailing(ctx, next); ok {
+		return t, false
+	}
+	return nil, q.awaitTarget(ctx)
+}
+
 // maxCrashes is the number of targets that one request may take down.
 const maxCrashes = 2
 
@@ -119,15 +127,21 @@
 }
 
 func (q *request) decide() retry.Decision {
-	history := make([]retry.Attempt, len(q.history))
-	for i, a := range q.history {
-		history[i] = a.Attempt
-	}
+	history := q.attempts()
 	q.e.mu.Lock()
 	defer q.e.mu.Unlock()
 	return retry.Decide(q.e.now(), q.policy(), history, q.e.budget(q.service))
 }
 
+// attempts are the attempts so far as the retry policy sees them.
+func (q *request) attempts() []retry.Attempt {
+	out := make([]retry.Attempt, len(q.history))
+	for i, a := range q.history {
+		out[i] = a.Attempt
+	}
+	return out
+}
+
 // outcome is what is proved about the attempts so far.
 func (q *request) outcome() attempt.Outcome {
 	out := attempt.NotRun
@@ -213,7 +227,7 @@
 // begin adds an attempt to the history.
 func (q *request) begin(ctx context.Context, number int, l located, trickle bool, why string, seen []record.Candidate) *try {
 	t := q.newTry(ctx, number, l, trickle)
-	t.reachedBefore = q.countReached()
+	t.reachedBefore = retry.CountReached(q.attempts())
 	q.history = append(q.history, attemptState{
 		Attempt: retry.Attempt{Target: l.key, Node: l.member.Node, Domain: l.member.Domain, Started: t.begun, InProgress: true},
 		record:  record.Attempt{Number: number, Target: l.target.ID, Node: l.member.Node, Candidates: seen, Why: why},
@@ -237,17 +251,6 @@
 	}
 }
 
-// countReached counts the attempts so far that may have arrived at a target.
-func (q *request) countReached() int {
-	n := 0
-	for _, a := range q.history {
-		if a.Reached() {
-			n++
-		}
-	}
-	return n
-}
-
 // race makes an attempt, with a hedge beside it when the class allows one.
 func (q *request) race(ctx context.Context, t *try) result {
 	if t.reachedBefore > 0 || !q.class.Hedge || !q.class.Idempotent || q.long || q.rest != nil {
--- a/request/retry/decide.go
+++ b/request/retry/decide.go
@@ -71,7 +71,8 @@
 	return !a.proved() || a.Reason == attempt.ReasonTargetRefused || a.Reason == attempt.ReasonIncarnationMismatch
 }
 
-func countReached(history []Attempt) int {
+// CountReached counts the attempts that may have arrived at a target.
+func CountReached(history []Attempt) int {
 	n := 0
 	for _, a := range history {
 		if a.Reached() {
@@ -138,9 +139,9 @@
 	switch {
 	case !p.Hedge || !p.Idempotent || p.Long:
 		return wait("in progress; this work is not hedged")
-	case countReached(history) > 1 || (len(history) > 1 && p.MaxTries == 0):
+	case CountReached(history) > 1 || (len(history) > 1 && p.MaxTries == 0):
 		return wait("in progress; only a sole first attempt is hedged")
-	case countReached(history) >= p.MaxAttempts:
+	case CountReached(history) >= p.MaxAttempts:
 		return wait("in progress; no attempts left")
 	}
 	due := history[len(history)-1].Started.Add(p.HedgeAfter)
@@ -180,7 +181,7 @@
 			return stop("non-idempotent work may have run")
 		}
 	}
-	if countReached(history) >= p.MaxAttempts || len(history) >= max(p.MaxTries, p.MaxAttempts) {
+	if CountReached(history) >= p.MaxAttempts || len(history) >= max(p.MaxTries, p.MaxAttempts) {
 		return stop("no attempts left")
 	}
 	if remaining := p.Deadline.Sub(now); remaining <= 0 || remaining < p.MinRemaining {
