--- a/process/entry/await.go
+++ b/process/entry/await.go
@@ -41,24 +41,6 @@
 	return pause(ctx, awaitPoll)
 }
 
-// viewSettles is the time after the start of a node in which its view of the
-// others may still be far from whole.
-const viewSettles = 2 * time.Second
-
-// awaitView waits a moment while this node has just started and knows of no
-// usable target but failing ones: the others are about to be known. It reports
-// whether another look is worth it.
-func (q *request) awaitView(ctx context.Context) bool {
-	now := q.e.now()
-	if !q.e.o.Surface.StrictStatus || len(q.history) == 0 || len(q.history) >= maxTries-1 || now.Sub(q.e.startedAt) > viewSettles {
-		return false
-	}
-	q.e.mu.Lock()
-	least := q.policy().MinRemaining
-	q.e.mu.Unlock()
-	return q.deadline.Sub(now) > least+overloadPause && pause(ctx, overloadPause)
-}
-
 // patienceShare is the part of the objective for which an overloaded service is
 // asked again. A caller that is refused early can still do something else.
 const patienceShare = 0.125
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -62,20 +62,19 @@
 
 // Entry serves callers. It is safe for concurrent use.
 type Entry struct {
-	o         Options
-	now       func() time.Time
-	log       zerolog.Logger
-	client    *roundtrip.Client
-	suffix    atomic.Pointer[string] // end of the identity of this entry's attempts; nil until Start
-	routing   atomic.Pointer[routing]
-	fleet     atomic.Pointer[fleet]
-	bindings  *bindings
-	sequence  atomic.Uint64
-	active    atomic.Int64
-	closing   atomic.Bool
-	startedAt time.Time       // set before suffix
-	ending    context.Context // ended by EndRequests
-	end       context.CancelCauseFunc
+	o        Options
+	now      func() time.Time
+	log      zerolog.Logger
+	client   *roundtrip.Client
+	suffix   atomic.Pointer[string] // end of the identity of this entry's attempts; nil until Start
+	routing  atomic.Pointer[routing]
+	fleet    atomic.Pointer[fleet]
+	bindings *bindings
+	sequence atomic.Uint64
+	active   atomic.Int64
+	closing  atomic.Bool
+	ending   context.Context // ended by EndRequests
+	end      context.CancelCauseFunc
 
 	mu       sync.Mutex
 	rand     *rand.Rand
@@ -148,7 +147,6 @@
 // is final from then on.
 func (e *Entry) Start(i attempt.Incarnation) {
 	e.bindings.restart(order.Owner{Node: e.o.Node, Incarnation: i})
-	e.startedAt = e.now()
 	suffix := "/" + e.o.Node + "/" + i.String()
 	e.suffix.Store(&suffix)
 }
--- a/process/entry/run.go
+++ b/process/entry/run.go
@@ -83,9 +83,6 @@
 	if t, ok := q.choose(ctx, next); ok {
 		return t, false
 	}
-	if q.awaitView(ctx) {
-		return nil, true
-	}
 	if t, ok := q.chooseFailing(ctx, next); ok {
 		return t, false
 	}
