Read over: one choice of a target is counted in one place, no copies on the way

Without a change of behaviour: - choose and chooseFailing share take(), so that a target that left the view is never counted and taken back. - retry.CountReached takes whatever embeds an Attempt; an attempt no longer copies the history of its request to count it. - the time limit of a drain has begin and again instead of one function with absent arguments; the context of ending requests carried a cause that nobody read. - the soak's switches are a table; both pages with plots use plotsvg, which keeps the error that the soak's copy had dropped.

--- a/cmd/hyssopsill/plot.go
+++ b/cmd/hyssopsill/plot.go
@@ -1,26 +1,19 @@
 package main
 
 import (
-	"bytes"
 	"fmt"
 	"image/color"
 	"time"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/vg"
-	"gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgsvg"
 
+	"github.com/hyssopsill/hyssopsill/plotsvg"
 	"github.com/hyssopsill/hyssopsill/request/attempt"
 	"github.com/hyssopsill/hyssopsill/request/record"
 )
 
-const (
-	plotBuckets = 60
-	plotWidth   = 9 * vg.Inch
-	plotHeight  = 3.5 * vg.Inch
-)
+const plotBuckets = 60
 
 // plotSeries are the lines of the plot, each counting the records it matches.
 var plotSeries = []struct {
@@ -80,16 +73,5 @@
 	if err != nil {
 		return "", err
 	}
-	canvas := vgsvg.New(plotWidth, plotHeight)
-	p.Draw(draw.New(canvas))
-	var b bytes.Buffer
-	if _, err := canvas.WriteTo(&b); err != nil {
-		return "", fmt.Errorf("plot: %w", err)
-	}
-	// The XML declaration and document type have no place within HTML.
-	_, element, ok := bytes.Cut(b.Bytes(), []byte("<svg"))
-	if !ok {
-		return "", fmt.Errorf("plot: no svg element")
-	}
-	return "<svg" + string(element), nil
+	return plotsvg.Element(p)
 }
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -74,7 +74,7 @@
 	active   atomic.Int64
 	closing  atomic.Bool
 	ending   context.Context // ended by EndRequests
-	end      context.CancelCauseFunc
+	end      context.CancelFunc
 
 	mu       sync.Mutex
 	rand     *rand.Rand
@@ -137,7 +137,7 @@
 		failing:  map[string]time.Time{},
 	}
 	e.bindings = newBindings(e, order.Owner{Node: o.Node})
-	e.ending, e.end = context.WithCancelCause(context.Background())
+	e.ending, e.end = context.WithCancel(context.Background())
 	e.fleet.Store(newFleet(membership.View{}))
 	e.health.SetEntries(o.Node, 1)
 	return e
--- a/process/entry/failing.go
+++ b/process/entry/failing.go
@@ -76,12 +76,7 @@
 	now := e.now()
 	query := selection.Query{Service: q.service, ExcludeTargets: exclude, Long: q.long, Distance: e.distance(q.match.Route.ID)}
 	c, ok := e.selector.Pick(now, query, state)
-	l, known := f.targets[c.Target]
-	ok = ok && known
-	if ok {
-		e.selector.Started(c.Target, q.long)
-	}
-	seen := e.evidenceOf(now, f, q.service)
+	l, seen, ok := q.take(now, f, c, ok)
 	e.mu.Unlock()
 	if !ok {
 		return nil, false
--- a/process/entry/run.go
+++ b/process/entry/run.go
@@ -124,21 +124,15 @@
 }
 
 func (q *request) decide() retry.Decision {
-	history := q.attempts()
+	history := make([]retry.Attempt, len(q.history))
+	for i, a := range q.history {
+		history[i] = a.Attempt
+	}
 	q.e.mu.Lock()
 	defer q.e.mu.Unlock()
 	return retry.Decide(q.e.now(), q.policy(), history, q.e.budget(q.service))
 }
 
-// attempts are the attempts so far as the retry policy sees them.
-func (q *request) attempts() []retry.Attempt {
-	out := make([]retry.Attempt, len(q.history))
-	for i, a := range q.history {
-		out[i] = a.Attempt
-	}
-	return out
-}
-
 // outcome is what is proved about the attempts so far.
 func (q *request) outcome() attempt.Outcome {
 	out := attempt.NotRun
@@ -198,18 +192,9 @@
 		c, ok = e.selector.Pick(now, query, e.rotation(now))
 	}
 	noWait := ok && d.Number == 1 && !q.long && !c.Trickle && e.freeElsewhere(now, service, c.Target)
-	if ok {
-		e.selector.Started(c.Target, q.long)
-	}
-	seen := e.evidenceOf(now, f, service)
+	l, seen, ok := q.take(now, f, c, ok)
 	e.mu.Unlock()
-	l, known := f.targets[c.Target]
-	if ok && !known { // the view changed in between
-		e.mu.Lock()
-		e.selector.Finished(c.Target, q.long)
-		e.mu.Unlock()
-	}
-	if !ok || !known {
+	if !ok {
 		return nil, false
 	}
 	why := c.Why
@@ -221,10 +206,22 @@
 	return t, true
 }
 
+// take counts an attempt at the chosen target and returns what is known of the
+// candidates. It reports false without a choice, and for a target that left the
+// view in between. e.mu is held.
+func (q *request) take(now time.Time, f *fleet, c selection.Choice, chosen bool) (located, []record.Candidate, bool) {
+	l, known := f.targets[c.Target]
+	if !chosen || !known {
+		return located{}, nil, false
+	}
+	q.e.selector.Started(c.Target, q.long)
+	return l, q.e.evidenceOf(now, f, q.service), true
+}
+
 // begin adds an attempt to the history.
 func (q *request) begin(ctx context.Context, number int, l located, trickle bool, why string, seen []record.Candidate) *try {
 	t := q.newTry(ctx, number, l, trickle)
-	t.reachedBefore = retry.CountReached(q.attempts())
+	t.reachedBefore = retry.CountReached(q.history)
 	q.history = append(q.history, attemptState{
 		Attempt: retry.Attempt{Target: l.key, Node: l.member.Node, Domain: l.member.Domain, Started: t.begun, InProgress: true},
 		record:  record.Attempt{Number: number, Target: l.target.ID, Node: l.member.Node, Candidates: seen, Why: why},
--- a/process/node/drain.go
+++ b/process/node/drain.go
@@ -73,7 +73,7 @@
 }
 
 // ExtendDrain lets the time limit of a running drain begin again.
-func (n *Node) ExtendDrain() { n.drainLimit.begin(n.o.Settings.DrainTimeout, nil, nil) }
+func (n *Node) ExtendDrain() { n.drainLimit.again(n.o.Settings.DrainTimeout) }
 
 // answerShare is the part of the drain's time limit after which requests that
 // still wait are answered. The platform excuses requests whose target works in
@@ -86,24 +86,30 @@
 	answer, cut *time.Timer
 }
 
-// begin starts the time limit, or starts a running one again. A limit of 0 never
-// ends.
+// begin starts the time limit. A limit of 0 never ends.
 func (l *drainLimit) begin(limit time.Duration, answer, cut func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	before := time.Duration(answerShare * float64(limit))
-	switch {
-	case limit <= 0:
-	case l.answer != nil:
-		if l.answer.Stop() && l.cut.Stop() { // else the requests are being answered
-			l.answer.Reset(before)
-			l.cut.Reset(limit)
-		}
-	case answer != nil:
-		l.answer, l.cut = time.AfterFunc(before, answer), time.AfterFunc(limit, cut)
+	if limit > 0 {
+		l.answer, l.cut = time.AfterFunc(answerAfter(limit), answer), time.AfterFunc(limit, cut)
+	}
+}
+
+// again lets a running time limit begin again, unless requests are being answered
+// already.
+func (l *drainLimit) again(limit time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.answer != nil && l.answer.Stop() && l.cut.Stop() {
+		l.answer.Reset(answerAfter(limit))
+		l.cut.Reset(limit)
 	}
 }
 
+func answerAfter(limit time.Duration) time.Duration {
+	return time.Duration(answerShare * float64(limit))
+}
+
 func (l *drainLimit) stop() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/process/node/drain_test.go
+++ b/process/node/drain_test.go
@@ -71,7 +71,7 @@
 		var l drainLimit
 		l.begin(10*time.Second, func() { answered = time.Since(begun) }, func() { cut = time.Since(begun) })
 		time.Sleep(4 * time.Second)
-		l.begin(10*time.Second, nil, nil)
+		l.again(10 * time.Second)
 		time.Sleep(time.Minute)
 		synctest.Wait()
 		if answered != 13*time.Second || cut != 14*time.Second {
--- a/request/retry/decide.go
+++ b/request/retry/decide.go
@@ -71,11 +71,12 @@
 	return !a.proved() || a.Reason == attempt.ReasonTargetRefused || a.Reason == attempt.ReasonIncarnationMismatch
 }
 
-// CountReached counts the attempts that may have arrived at a target.
-func CountReached(history []Attempt) int {
+// CountReached counts the attempts that may have arrived at a target. The type
+// is Attempt, or one that embeds it.
+func CountReached[A interface{ Reached() bool }](history []A) int {
 	n := 0
-	for _, a := range history {
-		if a.Reached() {
+	for i := range history {
+		if history[i].Reached() {
 			n++
 		}
 	}
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -14,17 +14,21 @@
 
 const (
 	linkDelay   = 60 * time.Millisecond
-	storeDelay  = `{"delay_ms":400}`
-	storeDown   = `{"outage":true}`
-	storeRefuse = `{"refuse_appends":2,"duplicate_reads":true}`
-	storeLose   = `{"lose_appends":2,"duplicate_reads":true}`
-	targetFail  = `{"fail_share":0.4,"truncate_share":0.2,"wrong_digest_share":0.2}`
-	targetHang  = `{"hang":true}`
 	noFaults    = `{}`
 	poisonSends = 6
 	viewEvery   = 150 * time.Millisecond
 )
 
+// switches are the faults that the stand-ins know themselves.
+var switches = map[Kind]string{
+	StoreDelay:  `{"delay_ms":400}`,
+	StoreDown:   `{"outage":true}`,
+	StoreRefuse: `{"refuse_appends":2,"duplicate_reads":true}`,
+	StoreLose:   `{"lose_appends":2,"duplicate_reads":true}`,
+	TargetFail:  `{"fail_share":0.4,"truncate_share":0.2,"wrong_digest_share":0.2}`,
+	TargetHang:  `{"hang":true}`,
+}
+
 // injector carries a plan out.
 type injector struct {
 	f *fleet
@@ -86,18 +90,10 @@
 		return in.pause(ctx, f.of(&x.process), e.For)
 	case TargetKill, TargetDrain:
 		return in.replaceTarget(ctx, x, e)
-	case TargetFail:
-		return in.switchFor(ctx, "http://"+x.control, targetFail, e.For)
-	case TargetHang:
-		return in.switchFor(ctx, "http://"+x.control, targetHang, e.For)
-	case StoreDelay:
-		return in.switchFor(ctx, f.logURL, storeDelay, e.For)
-	case StoreDown:
-		return in.switchFor(ctx, f.logURL, storeDown, e.For)
-	case StoreRefuse:
-		return in.switchFor(ctx, f.logURL, storeRefuse, e.For)
-	case StoreLose:
-		return in.switchFor(ctx, f.logURL, storeLose, e.For)
+	case TargetFail, TargetHang:
+		return in.switchFor(ctx, "http://"+x.control, switches[e.Kind], e.For)
+	case StoreDelay, StoreDown, StoreRefuse, StoreLose:
+		return in.switchFor(ctx, f.logURL, switches[e.Kind], e.For)
 	case StorePause:
 		return in.pause(ctx, f.log, e.For)
 	case Publish:
--- a/soak/report.go
+++ b/soak/report.go
@@ -13,10 +13,8 @@
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/vg"
-	"gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgsvg"
 
+	"github.com/hyssopsill/hyssopsill/plotsvg"
 	"github.com/hyssopsill/hyssopsill/request/attempt"
 )
 
@@ -130,12 +128,5 @@
 		p.Add(line)
 		p.Legend.Add(name, line)
 	}
-	canvas := vgsvg.New(9*vg.Inch, 3.5*vg.Inch)
-	p.Draw(draw.New(canvas))
-	var b bytes.Buffer
-	if _, err := canvas.WriteTo(&b); err != nil {
-		return "", fmt.Errorf("plot: %w", err)
-	}
-	_, element, _ := bytes.Cut(b.Bytes(), []byte("<svg"))
-	return "<svg" + string(element), nil
+	return plotsvg.Element(p)
 }
