process/entry: an attempt ended for an ejection is no failure of its target; its timer no longer races

Cause: attempts that this entry ended with errEjected were excluded from the last resort, so that requests for the only target behind a silent path ended with 502 (TestSilentConnectionsAreReplaced). Change: both causes count as abandoned; an ended attempt is not replaced, and its budget is read under the lock. A request is not sent again once the crash that ended its attempt has completed the quarantine. Tests: TestEjectionAbandonsAttempt, TestEndedAttemptIsNotReplaced, TestQuarantinedRequestIsNotRetried.

--- a/process/entry/attempt.go
+++ b/process/entry/attempt.go
@@ -40,12 +40,12 @@
 // attemptState is one attempt as the retry policy and the record see it.
 type attemptState struct {
 	retry.Attempt
-	record           record.Attempt
-	attemptID        string
-	member           *membership.Member
-	retryAfter       time.Duration
-	detail           string
-	connectionSilent bool // ended because of its connection, not its target
+	record     record.Attempt
+	attemptID  string
+	member     *membership.Member
+	retryAfter time.Duration
+	detail     string
+	abandoned  bool // ended by this entry because of its connection or an ejection, not by its target
 }
 
 // activeAttempt is an attempt in progress.
@@ -64,7 +64,8 @@
 	force       bool // the gate must use the target although it is failing
 	// reachedBefore counts the earlier attempts that may have arrived at a target.
 	reachedBefore int
-	replaced      bool         // ended in favour of another attempt, for which the budget was taken
+	replaced      bool         // ended in favour of another attempt, for which the budget was taken; guarded by Entry.mu
+	ended         bool         // its result is final; guarded by Entry.mu
 	noWait        bool         // the gate must not queue it: a slot is free elsewhere
 	load          attempt.Load // of the gate, from its response
 	serviceTime   time.Duration
@@ -72,15 +73,16 @@
 
 // result is the result of one attempt.
 type result struct {
-	attempt          *activeAttempt
-	verdict          attempt.Verdict
-	reason           attempt.Reason
-	status           int
-	detail           string
-	nothingSent      bool // no byte of the request was sent
-	connectionSilent bool // the connection was silent while new ones work
-	retryAfter       time.Duration
-	fault            health.Fault
+	attempt     *activeAttempt
+	verdict     attempt.Verdict
+	reason      attempt.Reason
+	status      int
+	detail      string
+	nothingSent bool // no byte of the request was sent
+	abandoned   bool // this entry ended it because of its connection or an ejection
+	budgetTaken bool // the retry budget was taken for the next attempt
+	retryAfter  time.Duration
+	fault       health.Fault
 	// resp with buffered is a response to deliver: the whole of it, or its first
 	// part when streamed is set.
 	resp     *roundtrip.Response
@@ -125,7 +127,7 @@
 	if q.entry.options.GateControlsRetries { // only a gate knows whether another attempt is possible; a hedge finds out
 		return
 	}
-	if !q.class.Idempotent || a.replaced || (limit > 0 && a.reachedBefore+1 >= limit) {
+	if !q.class.Idempotent || a.replaced || a.ended || (limit > 0 && a.reachedBefore+1 >= limit) {
 		return
 	}
 	if q.entry.budget(q.service).Take(q.entry.now()) {
@@ -148,6 +150,11 @@
 	r := a.exchange()
 	r.attempt = a
 	r.duration = a.request.entry.now().Sub(a.startedAt)
+	// The timer above may still run: Stop does not wait for it.
+	a.request.entry.mu.Lock()
+	r.budgetTaken = a.replaced
+	a.ended = true
+	a.request.entry.mu.Unlock()
 	a.reportEnd(&r)
 	return r
 }
@@ -328,7 +335,7 @@
 		r.reason, r.fault = attempt.ReasonDeadline, health.GateUnresponsive
 	case a.ctx.Err() != nil:
 		cause := context.Cause(a.ctx)
-		r.detail, r.connectionSilent = cause.Error(), errors.Is(cause, errConnectionSilent)
+		r.detail, r.abandoned = cause.Error(), errors.Is(cause, errConnectionSilent) || errors.Is(cause, errEjected)
 	case errors.Is(err, syscall.ETIMEDOUT) || isTimeout(err):
 		r.fault = health.GateUnresponsive
 	default:
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -20,6 +20,7 @@
 	"github.com/hyssopsill/hyssopsill/process/gate"
 	"github.com/hyssopsill/hyssopsill/request/attempt"
 	"github.com/hyssopsill/hyssopsill/request/invariant"
+	"github.com/hyssopsill/hyssopsill/request/poison"
 	"github.com/hyssopsill/hyssopsill/standin/logservice"
 	"github.com/hyssopsill/hyssopsill/version/config"
 	"github.com/hyssopsill/hyssopsill/version/membership"
@@ -185,6 +186,31 @@
 	}
 }
 
+// Guards against a copy of a poison request that is sent to another target although
+// the crash that ended its first attempt completed the quarantine.
+func TestQuarantinedRequestIsNotRetried(t *testing.T) {
+	for _, quarantined := range []bool{true, false} {
+		var attempts atomic.Int32
+		server := newTestEntry(t, func(w http.ResponseWriter, r *http.Request) {
+			attempts.Add(1)
+			h := w.Header()
+			h.Set(attempt.HeaderAttempt, r.Header.Get(attempt.HeaderAttempt))
+			h.Set(attempt.HeaderVerdict, string(attempt.VerdictCrashed))
+			h.Set(attempt.HeaderReason, string(attempt.ReasonTargetCrashed))
+			attempt.NewProblem("", attempt.Unknown, attempt.ReasonTargetCrashed, "", 0).Write(w)
+		}, false, 3)
+		server.Config.Handler.(*Entry).options.Quarantined = func(poison.RequestDigest) bool { return quarantined && attempts.Load() > 0 }
+		resp, err := http.Get(server.URL + "/kits")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if want := map[bool]int32{true: 1, false: 2}[quarantined]; attempts.Load() != want {
+			t.Errorf("quarantined %v: %d attempts, want %d", quarantined, attempts.Load(), want)
+		}
+	}
+}
+
 // Guards against non-idempotent work that is retried although it may have run, and
 // against the outcome not-run without proof.
 func TestRetryOfNonIdempotentWork(t *testing.T) {
--- a/process/entry/failing.go
+++ b/process/entry/failing.go
@@ -52,23 +52,24 @@
 
 // attemptLastResort begins an attempt that the gate must make although its target
 // is failing: no other target is left, and without an attempt the request fails
-// anyway. The choice includes targets of which only the connection became silent,
-// even if their path is down by now, because a new connection may work.
+// anyway. The choice includes targets whose attempt this entry gave up because of its
+// connection or an ejection, even if their path is down by now: a new connection may
+// work, and the target has not failed the request.
 func (q *request) attemptLastResort(ctx context.Context, decision retry.Decision) (*activeAttempt, bool) {
 	e := q.entry
 	var exclude []string // targets that the request may have reached
-	connectionSilent := map[string]bool{}
+	abandoned := map[string]bool{}
 	for _, a := range q.history {
 		switch {
-		case a.connectionSilent:
-			connectionSilent[a.Target] = true
+		case a.abandoned:
+			abandoned[a.Target] = true
 		case a.Reason != attempt.ReasonTargetFailing:
 			exclude = append(exclude, a.Target)
 		}
 	}
 	stateOf := func(key string) health.State {
 		state := e.health.State(key)
-		if connectionSilent[key] && state.Weight <= 0 {
+		if abandoned[key] && state.Weight <= 0 {
 			state.Weight = lastResortWeight
 		}
 		return state
--- a/process/entry/failing_test.go
+++ b/process/entry/failing_test.go
@@ -28,7 +28,7 @@
 			deadline: e.now().Add(time.Minute), routing: e.routing.Load()}
 		q.match, _ = q.routing.table.Match(http.MethodGet, "", "/kits")
 		q.class = q.routing.config.Services["shop"].Classes["browse"]
-		q.history = []attemptState{{Attempt: retry.Attempt{Target: target.key, Node: target.member.Node, Reason: attempt.ReasonPathFailed}, connectionSilent: silent}}
+		q.history = []attemptState{{Attempt: retry.Attempt{Target: target.key, Node: target.member.Node, Reason: attempt.ReasonPathFailed}, abandoned: silent}}
 		_, ok := q.attemptLastResort(context.Background(), retry.Decision{Number: 2})
 		if ok != silent {
 			t.Errorf("connection silent %v: another attempt %v", silent, ok)
@@ -36,6 +36,46 @@
 	}
 }
 
+// Guards against an attempt that this entry ended for an ejection but that counts as
+// the target's own failure, after which the only target is no last resort.
+func TestEjectionAbandonsAttempt(t *testing.T) {
+	for cause, abandoned := range map[error]bool{errConnectionSilent: true, errEjected: true, errTrickleTimeout: false, errOtherResponded: false} {
+		ctx, cancel := context.WithCancelCause(context.Background())
+		cancel(cause)
+		active := &activeAttempt{ctx: ctx}
+		if r := active.pathFailure(context.Canceled); r.abandoned != abandoned {
+			t.Errorf("%v: abandoned %v, want %v", cause, r.abandoned, abandoned)
+		}
+	}
+}
+
+// Guards against an attempt that is replaced after its result is final, which takes
+// from the retry budget for nothing and races with the reader of the result.
+func TestEndedAttemptIsNotReplaced(t *testing.T) {
+	server := newTestEntry(t, func(w http.ResponseWriter, r *http.Request) {
+		writeGateResponse(w, r.Header.Get(attempt.HeaderAttempt), "ok", "ok")
+	}, false, 1)
+	e := server.Config.Handler.(*Entry)
+	q := &request{entry: e, callerRequest: httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/kits", nil), service: "shop",
+		deadline: e.now().Add(time.Minute), routing: e.routing.Load()}
+	q.match, _ = q.routing.table.Match(http.MethodGet, "", "/kits")
+	q.class = q.routing.config.Services["shop"].Classes["browse"]
+	q.skipHeader = q.headerFilter()
+	for _, target := range e.fleet.Load().targets {
+		active := q.newAttempt(t.Context(), 1, target, true)
+		if r := active.run(); r.resp == nil || r.budgetTaken {
+			t.Fatalf("result %+v", r)
+		}
+		e.mu.Lock()
+		active.replace(errTrickleTimeout)
+		replaced := active.replaced
+		e.mu.Unlock()
+		if replaced {
+			t.Error("the ended attempt was replaced")
+		}
+	}
+}
+
 // Guards against a request that is refused although the first target of its
 // service becomes known a moment later, as after a start of all nodes.
 func TestRequestWaitsForFirstTarget(t *testing.T) {
--- a/process/entry/run.go
+++ b/process/entry/run.go
@@ -22,7 +22,7 @@
 	q.exemptFromStop = context.AfterFunc(q.entry.stopping, func() { cancelWith(errStopping) })
 	defer q.exemptFromStop()
 	if q.entry.options.Quarantined(q.digest) {
-		q.refuse(attempt.NotRun, attempt.ReasonQuarantined, "two targets crashed while this request ran", 0)
+		q.refuse(attempt.NotRun, attempt.ReasonQuarantined, whyCrashes, 0)
 		return
 	}
 	if !q.orderKey.IsZero() {
@@ -45,7 +45,7 @@
 			return
 		}
 		r := q.runWithHedge(ctx, active)
-		q.budgetTaken = r.attempt.replaced
+		q.budgetTaken = r.budgetTaken
 		decision := q.decide()
 		for decision.Action == retry.Withdraw {
 			q.withdraw(decision.Number)
@@ -62,8 +62,9 @@
 		if decision.Action == retry.Retry && (!q.replayable() || ctx.Err() != nil) {
 			decision = retry.Decision{Action: retry.Stop, Why: "the body cannot be sent again or the deadline has passed", Outcome: q.provedOutcome()}
 		}
-		if decision.Action == retry.Retry && q.countCrashes() >= maxCrashes {
-			decision = retry.Decision{Action: retry.Stop, Why: "two targets crashed while this request ran", Outcome: q.provedOutcome()}
+		// The crash that just ended this attempt may have completed the quarantine.
+		if decision.Action == retry.Retry && (q.countCrashes() >= maxCrashes || q.entry.options.Quarantined(q.digest)) {
+			decision = retry.Decision{Action: retry.Stop, Why: whyCrashes, Outcome: q.provedOutcome()}
 		}
 		if best != nil && best.streamed && decision.Action != retry.Stop { // a large response is not kept until a better one arrives
 			decision = retry.Decision{Action: retry.Stop, Why: "answered", Outcome: attempt.Answered}
@@ -93,6 +94,8 @@
 // maxCrashes is the number of targets that one request may crash.
 const maxCrashes = 2
 
+const whyCrashes = "two targets crashed while this request ran"
+
 // countCrashes counts the targets that crashed, or may have crashed because the
 // gate's connection to them broke.
 func (q *request) countCrashes() int {
@@ -170,7 +173,7 @@
 	query := selection.Query{Service: service, ExcludeTargets: decision.ExcludeTargets, ExcludeNodes: decision.ExcludeNodes,
 		AvoidDomains: decision.AvoidDomains, FreeSlotOnly: decision.FreeSlotOnly, Long: q.long}
 	for _, a := range q.history {
-		if a.connectionSilent { // a new connection to the same target may serve the request
+		if a.abandoned { // a new connection to the same target may serve the request
 			query.ExcludeTargets = slices.DeleteFunc(query.ExcludeTargets, func(key string) bool { return key == a.Target })
 			query.AvoidDomains = slices.DeleteFunc(query.AvoidDomains, func(domain string) bool { return domain == a.Domain })
 		}
@@ -237,7 +240,7 @@
 	a := &q.history[r.attempt.number-1]
 	a.InProgress = false
 	a.Verdict, a.Reason, a.Status, a.NeverStarted = r.verdict, r.reason, r.status, r.nothingSent
-	a.retryAfter, a.detail, a.connectionSilent = r.retryAfter, r.detail, r.connectionSilent
+	a.retryAfter, a.detail, a.abandoned = r.retryAfter, r.detail, r.abandoned
 	a.record.Verdict, a.record.Reason, a.record.Status = r.verdict, r.reason, r.status
 	a.record.DurationMS = float64(r.duration) / float64(time.Millisecond)
 	if r.verdict == attempt.VerdictCrashed && r.attempt.target.member.Node != q.entry.options.Node {
