process/gate: a reset dial does not prove that a target lives

Cause: a dying process resets the connections of its backlog; the dial that checks for a crash got ECONNRESET and was taken as conclusive. Test: TestResetDialIsInconclusive.

--- a/process/gate/crash.go
+++ b/process/gate/crash.go
@@ -43,7 +43,7 @@
 		e.release()
 		dials = maxCrashDials
 	}
-	refused, conclusive := refusesConnections(address, dials)
+	refused, conclusive := refusesConnections(dialTarget(address), dials)
 	if refused {
 		e.markDown()
 		return true
@@ -56,15 +56,26 @@
 	return e.target.crashes != e.crashesAtStart
 }
 
+// dialTarget returns a function that opens a connection to address and closes it.
+func dialTarget(address string) func() error {
+	return func() error {
+		conn, err := net.DialTimeout("tcp", address, crashDialTimeout)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err
+	}
+}
+
 // refusesConnections dials until a dial fails or all dials are used up. conclusive
-// is false when further dials may still find that the target crashed.
-func refusesConnections(address string, dials int) (refused, conclusive bool) {
+// is false when further dials may still find that the target crashed. A dial that is
+// reset proves nothing: a dying process resets the connections in its backlog before
+// its address refuses new ones.
+func refusesConnections(dial func() error, dials int) (refused, conclusive bool) {
 	for i := range dials {
-		conn, err := net.DialTimeout("tcp", address, crashDialTimeout)
-		if err != nil {
+		if err := dial(); err != nil && !errors.Is(err, syscall.ECONNRESET) {
 			return errors.Is(err, syscall.ECONNREFUSED), true
 		}
-		_ = conn.Close()
 		time.Sleep(crashDialBackoff << i)
 	}
 	return false, false
@@ -80,7 +91,7 @@
 	}
 	e.target.watchingForCrash = true
 	go func() {
-		refused, _ := refusesConnections(address, maxCrashDials)
+		refused, _ := refusesConnections(dialTarget(address), maxCrashDials)
 		e.gate.mu.Lock()
 		e.target.watchingForCrash = false
 		unchanged := e.gate.targets[e.targetID] == e.target && e.target.crashes == e.crashesAtStart
--- a/process/gate/crash_test.go
+++ b/process/gate/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -41,6 +42,27 @@
 	}
 }
 
+// Guards against a crashed target that is taken for one that lives because the dial
+// that checks it was reset from the backlog of the dying process. The request would
+// then reach a third target.
+func TestResetDialIsInconclusive(t *testing.T) {
+	for _, c := range []struct {
+		errs                []error
+		refused, conclusive bool
+	}{
+		{[]error{syscall.ECONNRESET, syscall.ECONNREFUSED}, true, true},
+		{[]error{nil, syscall.ECONNREFUSED}, true, true},
+		{[]error{syscall.ECONNRESET, syscall.ECONNRESET}, false, false},
+		{[]error{syscall.ETIMEDOUT}, false, true},
+	} {
+		calls := 0
+		refused, conclusive := refusesConnections(func() error { calls++; return c.errs[calls-1] }, foregroundCrashDials)
+		if refused != c.refused || conclusive != c.conclusive || calls != len(c.errs) {
+			t.Errorf("dials %v: refused %v, conclusive %v after %d dials, want %v, %v after %d", c.errs, refused, conclusive, calls, c.refused, c.conclusive, len(c.errs))
+		}
+	}
+}
+
 // slowCrashAccepts is the number of connections that a crashing target still accepts,
 // more than an exchange dials in the foreground.
 const slowCrashAccepts = foregroundCrashDials + 1
