--- a/soak/inject.go
+++ b/soak/inject.go
@@ -116,13 +116,37 @@
 	return nil
 }
 
-// enableFaultsFor enables faults of a stand-in for the duration d.
+// enableFaultsFor enables faults of a stand-in for the duration d. A request without a
+// response may take effect later, so the faults are cleared in any case.
 func (in *injector) enableFaultsFor(ctx context.Context, url, faults string, d time.Duration) error {
-	if err := in.fleet.sendToStandin(ctx, http.MethodPut, url+"/v1/faults", faults); err != nil {
-		return err
+	err := in.fleet.sendToStandin(ctx, http.MethodPut, url+"/v1/faults", faults)
+	if err == nil {
+		sleep(ctx, d)
 	}
-	sleep(ctx, d)
-	return in.fleet.sendToStandin(context.WithoutCancel(ctx), http.MethodPut, url+"/v1/faults", noFaults)
+	return errors.Join(err, in.fleet.sendToStandin(context.WithoutCancel(ctx), http.MethodPut, url+"/v1/faults", noFaults))
+}
+
+// clearFaults disables the faults of all stand-ins after the last one of the plan has
+// ended. While one of them may be left, the recovery of the fleet cannot be checked.
+func (in *injector) clearFaults(ctx context.Context) error {
+	controls := map[string]string{"log": in.fleet.logURL}
+	for _, target := range in.fleet.targets {
+		controls[target.id] = "http://" + target.control
+	}
+	var err error
+	for end := time.Now().Add(maxWait); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(pollInterval) {
+		for name, url := range controls {
+			if err = in.fleet.sendToStandin(ctx, http.MethodPut, url+"/v1/faults", noFaults); err != nil {
+				err = fmt.Errorf("soak: void run: the faults of %s may still be enabled: %w", name, err)
+				break
+			}
+			delete(controls, name)
+		}
+		if len(controls) == 0 {
+			return nil
+		}
+	}
+	return err
 }
 
 // restartNode stops or kills a node and starts it again after the duration of the event.
--- a/soak/run.go
+++ b/soak/run.go
@@ -85,6 +85,11 @@
 		wg.Go(func() { in.recordViews(loadCtx, n) })
 	}
 	in.injectFaults(ctx)
+	if err := in.clearFaults(ctx); err != nil {
+		stopLoad()
+		wg.Wait()
+		return err
+	}
 	if err := in.fleet.waitReady(ctx); err != nil {
 		in.history.withLock(func() { in.history.Unready = err.Error() })
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 )
@@ -36,6 +40,8 @@
 	cause  string
 }{
 	{41, 8 * time.Second, "no-cut: a node paused during its drain notice closed its listener with connections in the backlog"},
+	{103, 8 * time.Second, "poison: a dial reset by a dying target was taken for one of a live target, and a quarantined copy was retried"},
+	{771903, 8 * time.Second, "recovery: the soak left a target failing, as its call that enabled the fault had no response, not a fault of the fleet"},
 	{32, 8 * time.Second, "recovery: the soak left a target leaving after a drain that failed, not a fault of the fleet"},
 }
 
@@ -76,6 +82,42 @@
 	}
 }
 
+// Guards against a fault that stays enabled until the end of the run, because the call
+// that enabled it got no response and took effect later. The run then checks a fleet
+// with a failing target.
+func TestLateFaultIsCleared(t *testing.T) {
+	var mu sync.Mutex
+	calls, faults := 0, ""
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		mu.Lock()
+		calls++
+		late := calls == 1
+		mu.Unlock()
+		if late {
+			time.Sleep(300 * time.Millisecond)
+		}
+		mu.Lock()
+		faults = string(body)
+		mu.Unlock()
+		_, _ = io.WriteString(w, "{}")
+	}))
+	defer server.Close()
+	in := &injector{fleet: &fleet{logURL: server.URL, client: &http.Client{Timeout: 100 * time.Millisecond}}}
+	if err := in.enableFaultsFor(t.Context(), server.URL, `{"hang":true}`, time.Hour); err == nil {
+		t.Fatal("the call that enables the fault got a response")
+	}
+	time.Sleep(500 * time.Millisecond)
+	if err := in.clearFaults(t.Context()); err != nil {
+		t.Error(err)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if faults != noFaults {
+		t.Errorf("faults %s are still enabled", faults)
+	}
+}
+
 // Guards against a soak that reads files of an earlier run as its own or starts more
 // processes than the limit.
 func TestRunRefusesBadOptions(t *testing.T) {
