request/retry: calls of retried runs are charged to the budget of the called service

Change: an entry tells the gate which share of the work on its host is a retry, and the gate charges calls by it. A request stops after four refusals for the budget.

--- a/request/retry/attempts_test.go
+++ b/request/retry/attempts_test.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -57,3 +58,20 @@
 		t.Error("an attempt without a response must count as reached, an attempt that was never sent must not")
 	}
 }
+
+// Guards against a request that asks every gate for a retry after the budget of the
+// service is used up.
+func TestStopsAfterBudgetRefusals(t *testing.T) {
+	now := time.Unix(1000, 0)
+	policy := Policy{Idempotent: true, MaxAttempts: 2, MaxGates: 64, Deadline: now.Add(time.Minute)}
+	history := []Attempt{{Target: "t0", Started: now, Verdict: attempt.VerdictRan, Status: 500}}
+	for i := range maxBudgetRefusals {
+		if d := Decide(now, policy, history, NewBudget(Options{Unlimited: true})); d.Action != Retry {
+			t.Fatalf("after %d refusals for the budget: %+v", i, d)
+		}
+		history = append(history, Attempt{Target: fmt.Sprint("t", i+1), Started: now, Verdict: attempt.VerdictRefused, Reason: attempt.ReasonRetryBudget})
+	}
+	if d := Decide(now, policy, history, NewBudget(Options{Unlimited: true})); d.Action != Stop || d.Outcome != attempt.Answered {
+		t.Errorf("after %d refusals for the budget: %+v, want the answered first attempt", maxBudgetRefusals, d)
+	}
+}
--- a/request/retry/budget.go
+++ b/request/retry/budget.go
@@ -42,7 +42,7 @@
 type bucket struct {
 	second        int64 // Unix time
 	firstAttempts int
-	retries       int // retries and hedges
+	retries       float64 // retries and hedges, and shares of calls that retries made
 }
 
 // NewBudget returns the budget of one service.
@@ -68,17 +68,22 @@
 	return true
 }
 
+// Charge counts retries that were not decided here and cannot be refused, such as the
+// calls of a retried request to another service. The retries that Take allows shrink by
+// as much.
+func (b *Budget) Charge(now time.Time, retries float64) { b.bucketAt(now).retries += retries }
+
 // remaining returns the retries that the window ending at now still allows.
 func (b *Budget) remaining(now time.Time) float64 {
 	oldest := now.Unix() - int64(len(b.buckets)) + 1
-	firstAttempts, retries := 0, 0
+	firstAttempts, retries := 0, 0.0
 	for _, counts := range b.buckets {
 		if counts.second >= oldest {
 			firstAttempts += counts.firstAttempts
 			retries += counts.retries
 		}
 	}
-	return b.opts.Share*float64(firstAttempts) + b.opts.PerSecond*float64(len(b.buckets)) - float64(retries)
+	return b.opts.Share*float64(firstAttempts) + b.opts.PerSecond*float64(len(b.buckets)) - retries
 }
 
 // bucketAt returns the bucket of the current second, emptied if it held an older one.
--- a/request/retry/decide.go
+++ b/request/retry/decide.go
@@ -187,6 +187,9 @@
 			return stop("non-idempotent work may have run")
 		}
 	}
+	if countBudgetRefusals(history) >= maxBudgetRefusals {
+		return stop("retry budgets of the gates exhausted")
+	}
 	if CountReached(history) >= policy.MaxAttempts || len(history) >= max(policy.MaxGates, policy.MaxAttempts) {
 		return stop("no attempts left")
 	}
@@ -214,6 +217,19 @@
 	return d
 }
 
+// maxBudgetRefusals is the number of gates that may refuse a retry for lack of budget.
+// They have equal shares of it, so that the others are likely to have none either.
+const maxBudgetRefusals = 4
+
+func countBudgetRefusals(history []Attempt) (n int) {
+	for _, a := range history {
+		if a.Reason == attempt.ReasonRetryBudget {
+			n++
+		}
+	}
+	return n
+}
+
 // finalRefusal reports whether every other gate would refuse for the same reason.
 func finalRefusal(r attempt.Reason) bool {
 	switch r {
