--- a/process/roundtrip/conn.go
+++ b/process/roundtrip/conn.go
@@ -133,8 +133,12 @@
 	return w.Flush()
 }
 
-// maxUnrelatedResponses bounds the responses to other requests that are discarded.
-const maxUnrelatedResponses = 4
+const (
+	// maxUnrelatedResponses bounds the responses to other requests that are discarded.
+	maxUnrelatedResponses = 4
+	// maxUnrelatedBytes bounds the body of each of them, which may have no end.
+	maxUnrelatedBytes = 256 << 10
+)
 
 // readResponse reads the header of the response to req. It discards and counts the
 // responses to other requests that arrive before it.
@@ -147,7 +151,11 @@
 		if unrelated++; unrelated > maxUnrelatedResponses {
 			return nil, unrelated, errUnrelatedResponses
 		}
-		if _, err = io.Copy(io.Discard, resp.Body); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxUnrelatedBytes+1))
+		if err == nil && n > maxUnrelatedBytes {
+			err = errUnrelatedResponses
+		}
+		if err != nil {
 			return nil, unrelated, err
 		}
 	}
