connection/admission: brief work goes first among equals

Change: work of a class that takes less than a tenth of the mean, or whose time is unknown, starts before other work of its priority. Test: TestBriefWorkGoesFirst.

--- a/connection/admission/controller.go
+++ b/connection/admission/controller.go
@@ -172,6 +172,7 @@
 // wait is too long or the queue is full and no waiting work gives way to it.
 func (c *Controller) enqueue(now time.Time, t *target, sub *submission) Decision {
 	sub.customer = t.customerOf(sub.work.Customer)
+	sub.brief = !c.options.noBriefFirst && t.isBrief(sub)
 	wait := t.expectedWait(now, sub)
 	margin := sub.class.deadlineMargin(sub.work.Deadline.Sub(now) - sub.class.expectedServiceTime(now))
 	tooLate := (sub.wouldMissObjective(now, wait) || sub.waitsLonger(maxExpectedShare, wait)) && !c.mayQueueLate(now, t, sub, wait)
--- a/connection/admission/objective_test.go
+++ b/connection/admission/objective_test.go
@@ -150,3 +150,30 @@
 		t.Errorf("still waits after half of its time: %+v", out)
 	}
 }
+
+// Guards against brief work that misses its objective in a queue of long requests, as
+// lookups on a new route of a busy service, while it would delay none of them.
+func TestBriefWorkGoesFirst(t *testing.T) {
+	for _, enabled := range []bool{true, false} {
+		controller, work, running := objectiveController(t)
+		controller.options.noBriefFirst = !enabled
+		target := controller.targets["t"].Target
+		target.Classes["brief"] = Class{Priority: Order, Objective: 300 * time.Millisecond}
+		now := epoch.Add(2 * time.Second)
+		controller.SetTarget(now, target)
+		for range 4 {
+			if d := controller.Submit(now, work); d.Kind != Queued {
+				t.Fatalf("got %+v", d)
+			}
+		}
+		work.Class = "brief"
+		brief := controller.Submit(now, work)
+		if (brief.Kind == Queued) != enabled {
+			t.Errorf("brief first %v: got %+v", enabled, brief)
+		}
+		started := controller.Finish(now.Add(100*time.Millisecond), running, Result{OK: true})
+		if len(started) != 1 || (started[0].Ticket == brief.Ticket) != enabled {
+			t.Errorf("brief first %v: started %+v, the brief work is %d", enabled, started, brief.Ticket)
+		}
+	}
+}
--- a/connection/admission/target.go
+++ b/connection/admission/target.go
@@ -248,13 +248,28 @@
 	t.slotsLowered = t.slotsLowered && t.running > t.Slots
 }
 
-// goesBefore reports whether waiting work a starts before b: by priority, by
-// whether it can still meet its objective, by the customer that was served less,
+// briefShare is the part of the mean service time of a target's short work below which
+// the work of a class is brief.
+const briefShare = 0.1
+
+// isBrief reports whether work takes so little time that it delays no other work when it
+// goes first. In a queue of long requests it would miss its objective or its deadline. So
+// does work of a class that the target has not run yet, so that its time becomes known.
+func (t *target) isBrief(sub *submission) bool {
+	mean, own := t.shortServiceTime, sub.class.serviceTime
+	return mean.known && !sub.long && (!own.known || own.value < briefShare*mean.value)
+}
+
+// goesBefore reports whether waiting work a starts before b: by priority, brief work
+// first, by whether it can still meet its objective, by the customer that was served less,
 // by deadline and by arrival.
 func goesBefore(a, b *submission, o Options) bool {
 	if a.priority != b.priority && !o.noPriority {
 		return a.priority < b.priority
 	}
+	if a.brief != b.brief && !o.noBriefFirst {
+		return a.brief
+	}
 	if a.late != b.late {
 		return b.late
 	}
@@ -329,8 +344,8 @@
 		other.customer.countedAhead = 0
 	}
 	for _, other := range t.queue {
-		if other == sub || other.long != sub.long || other.priority > sub.priority {
-			continue
+		if other == sub || other.long != sub.long || other.priority > sub.priority || (other.priority == sub.priority && other.brief != sub.brief) {
+			continue // starts later, or takes no time
 		}
 		if other.priority == sub.priority && other.customer != sub.customer {
 			if other.customer.countedAhead > sub.customer.queued {
--- a/connection/admission/types.go
+++ b/connection/admission/types.go
@@ -24,6 +24,7 @@
 	noPriority         bool // for tests: the queue ignores priority
 	noFairness         bool // for tests: the queue ignores customers
 	noReserve          bool // for tests: long work may take every slot
+	noBriefFirst       bool // for tests: the queue ignores how long work takes
 	noLateQueue        bool // for tests: AllowLate is ignored
 	noFeasibilityCheck bool // for tests: work that cannot end before its deadline is queued
 	noDeadline         bool // for tests: work starts after its deadline
@@ -156,5 +157,6 @@
 	started    time.Time
 	running    bool
 	refused    bool
-	generation int // generation of the target in which it started
+	brief      bool // see target.isBrief
+	generation int  // generation of the target in which it started
 }
