process/entry: hedge after half of the time where the usual duration is not known

Change: half of the time stands in for the unknown percentile; a hedge asks up to four gates with a free slot.

--- a/process/entry/run.go
+++ b/process/entry/run.go
@@ -121,6 +121,11 @@
 // limits the targets.
 const maxGatesPerRequest = 64
 
+// unknownHedgeDivisor is the part of its time after which a request is hedged while its
+// usual duration is not known. In a large fleet an entry sees too few requests of a class
+// to learn it, and a request that hangs would use up its time at one target.
+const unknownHedgeDivisor = 2
+
 // policy returns the retry policy of the request. The caller holds e.mu.
 func (q *request) policy() retry.Policy {
 	p := retry.Policy{Idempotent: q.class.Idempotent, MaxAttempts: q.class.MaxAttempts, BudgetTaken: q.budgetTaken, Deadline: q.deadline, Long: q.long}
@@ -130,6 +135,8 @@
 	if p50, p95, ok := q.entry.health.DurationPercentiles(q.service, q.healthClass()); ok {
 		p.MinRemaining, p.HedgeAfter = p50, p95
 		p.Hedge = q.class.Hedge && q.bodyRest == nil
+	} else if q.entry.options.HTTPProfile.StrictStatus {
+		p.HedgeAfter, p.Hedge = q.deadline.Sub(q.start)/unknownHedgeDivisor, q.class.Hedge && q.bodyRest == nil
 	}
 	return p
 }
@@ -288,19 +295,46 @@
 	}
 }
 
+// hedgeAttempt begins the second attempt of a hedged pair, at a target with a free slot. An
+// entry that knows of none asks a gate that does not let the attempt wait.
+func (q *request) hedgeAttempt(ctx context.Context, decision retry.Decision) (*activeAttempt, bool) {
+	second, ok := q.attemptInRotation(ctx, decision)
+	if ok || !decision.FreeSlotOnly {
+		return second, ok
+	}
+	decision.FreeSlotOnly = false
+	if second, ok = q.attemptInRotation(ctx, decision); ok {
+		second.noWait = true
+	}
+	return second, ok
+}
+
+// maxHedgeRefusals is the number of gates that may refuse the second attempt of a pair
+// before the first is awaited without one.
+const maxHedgeRefusals = 3
+
 // runHedge makes a second attempt and returns the first result without a server
 // error.
 func (q *request) runHedge(ctx context.Context, decision retry.Decision, results chan result) result {
-	second, ok := q.attemptInRotation(ctx, decision)
-	if !ok {
-		r := <-results
+	var second *activeAttempt
+	var r result
+	for refusals := 0; ; refusals++ {
+		var ok bool
+		if second, ok = q.hedgeAttempt(ctx, decision); !ok {
+			r := <-results
+			q.recordResult(&r)
+			return r
+		}
+		q.lastAttempt().Hedge = true
+		go func(a *activeAttempt) { results <- a.run() }(second)
+		r = <-results
 		q.recordResult(&r)
-		return r
+		if r.attempt != second || !r.verdict.NeverStarted() || refusals >= maxHedgeRefusals {
+			break
+		}
+		decision.ExcludeTargets = append(decision.ExcludeTargets, second.target.key)
+		decision.Number = len(q.history) + 1
 	}
-	q.lastAttempt().Hedge = true
-	go func() { results <- second.run() }()
-	r := <-results
-	q.recordResult(&r)
 	if r.resp != nil && r.status < 500 {
 		other := second
 		if r.attempt == second {
