--- a/connection/admission/controller.go
+++ b/connection/admission/controller.go
@@ -206,8 +206,8 @@
 	return objective > 0 && now.Add(wait+sub.class.expectedServiceTime(now)).Sub(sub.work.ArrivedAt) > objective
 }
 
-// calledQueueFactor is the factor by which the queue may be longer for called work, which
-// is short as a rule and waits until its deadline.
+// calledQueueFactor is the factor by which the queue may be longer for called work, as the
+// slots of the callers bound it too.
 const calledQueueFactor = 4
 
 // mayQueueLate reports whether work that will miss its objective may wait: it asked for
--- a/connection/admission/target.go
+++ b/connection/admission/target.go
@@ -253,8 +253,8 @@
 const briefShare = 0.1
 
 // isBrief reports whether work takes so little time that it delays no other work when it
-// goes first. In a queue of long requests it would miss its objective or its deadline. So
-// does work of a class that the target has not run yet, so that its time becomes known.
+// goes first, while in a queue of longer requests it would miss its objective. Work of a
+// class that the target has not run yet counts as brief, so that its time becomes known.
 func (t *target) isBrief(sub *submission) bool {
 	mean, own := t.shortServiceTime, sub.class.serviceTime
 	return mean.known && !sub.long && (!own.known || own.value < briefShare*mean.value)
--- a/connection/admission/types.go
+++ b/connection/admission/types.go
@@ -105,8 +105,8 @@
 	// slots, unless they are called.
 	AllowLate bool
 	// Called marks work that a running request at another target waits for. It goes
-	// before other work, and its queue ends only where its deadline would be missed:
-	// its refusal would waste the slot that waits for it.
+	// before other work, and more of it may wait: its refusal would waste the slot that
+	// waits for it.
 	Called bool
 }
 
--- a/process/entry/failing.go
+++ b/process/entry/failing.go
@@ -24,8 +24,8 @@
 const unreachableTime = time.Second
 
 // updateFailing marks a target as failing when its gate refused the attempt as
-// target-failing or did not respond to a dial, and as usable after a response without a server error. The caller
-// holds e.mu.
+// target-failing or did not respond to a dial, and as usable after a response without
+// a server error. The caller holds e.mu.
 func (e *Entry) updateFailing(now time.Time, r *result) {
 	switch {
 	case r.verdict == attempt.VerdictRefused && r.reason == attempt.ReasonTargetFailing:
