cmd/hyssopsilld: log the signal that starts a drain and the end of the process

The lines of a process that died of a signal during its drain could not be told from those of one that drained and ended: neither the signal nor the end had a line. A process without the last line did not end by itself.

--- a/cmd/hyssopsilld/main.go
+++ b/cmd/hyssopsilld/main.go
@@ -141,7 +141,8 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
-		<-signals
+		first := <-signals
+		logger.Info().Str("signal", first.String()).Msg("node: signal received, draining")
 		drain()
 		for sig := range signals {
 			if !env.signalsExtendDrain {
@@ -154,5 +155,7 @@
 		}
 	}()
 	go watchReload(ctx, c.String("settings"), s, logger)
-	return n.Serve(ctx)
+	err = n.Serve(ctx)
+	logger.Info().AnErr("cause", err).Msg("node: stopped")
+	return err
 }
