cmd/hyssopsilld: SIGHUP no longer ends a draining node

Cause: the handler of SIGHUP was removed when the drain began, since it lived as long as the context that starts the drain. From then on SIGHUP had its default action and ended the process, with its requests in progress.

Change: the handler stays until the process ends.

--- a/cmd/hyssopsilld/e2e_test.go
+++ b/cmd/hyssopsilld/e2e_test.go
@@ -496,6 +496,34 @@
 	}
 }
 
+// Guards against a drain that ends, with its running requests, when the settings
+// file changes meanwhile.
+func TestReloadDuringDrainCutsNoRequest(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, false)
+	f.publish(testConfig)
+	f.addTarget(f.nodes[0], "t1", "shop")
+	f.waitReady("t1")
+	n := f.nodes[0]
+	result := make(chan response, 1)
+	go func() { result <- n.sendRequest("GET", "/kits?work_ms=1500", "") }()
+	time.Sleep(300 * time.Millisecond)
+	n.signal(syscall.SIGHUP)
+	n.signal(syscall.SIGTERM)
+	n.awaitOutput(t, `("kind":"drain")`)
+	for range 3 {
+		n.signal(syscall.SIGHUP)
+		time.Sleep(300 * time.Millisecond)
+	}
+	if resp := <-result; resp.err != nil || resp.status != http.StatusOK {
+		t.Errorf("running request: status %d, reason %q, error %v", resp.status, resp.reason, resp.err)
+	}
+	n.waitExit(t, 10*time.Second)
+	if code := n.cmd.ProcessState.ExitCode(); code != 0 {
+		t.Errorf("the node ended with %s", n.cmd.ProcessState)
+	}
+}
+
 // Guards against a second SIGTERM that does not stop a draining node.
 func TestSecondSignalStopsAtOnce(t *testing.T) {
 	t.Parallel()
--- a/cmd/hyssopsilld/main.go
+++ b/cmd/hyssopsilld/main.go
@@ -154,7 +154,9 @@
 			n.ExtendDrain()
 		}
 	}()
-	go watchReload(ctx, c.String("settings"), s, logger)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	go watchReload(reloads, c.String("settings"), s, logger)
 	err = n.Serve(ctx)
 	logger.Info().AnErr("cause", err).Msg("node: stopped")
 	return err
--- a/cmd/hyssopsilld/reload.go
+++ b/cmd/hyssopsilld/reload.go
@@ -1,10 +1,7 @@
 package main
 
 import (
-	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/rs/zerolog"
 
@@ -13,17 +10,10 @@
 
 // watchReload checks the settings file at each SIGHUP and logs the result. Addresses
 // and names are fixed while the process runs, so changes take effect at the next start.
-// An invalid file is reported and changes nothing.
-func watchReload(ctx context.Context, path string, current settings.Settings, logger zerolog.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-signals:
-		}
+// An invalid file is reported and changes nothing. It runs until the process ends:
+// without a handler, a SIGHUP during the drain would end the process.
+func watchReload(reloads <-chan os.Signal, path string, current settings.Settings, logger zerolog.Logger) {
+	for range reloads {
 		logReload(path, current, logger)
 	}
 }
