eventlog, platform: a reader notices that the store came back from an older copy

What operators could see: a version that the store had acknowledged was not in force on the nodes that follow the store, until the next version or the next check.

Cause: a reader kept an offset only. The store gives offsets out again after it was restored from an older copy. A read from the old offset then succeeds and skips what was written below it.

Change: positions have the era of the store (header Store-Era). Follow from a position of another era, and a read from an offset that the store does not have, return ErrRestored; Documents then reads the newest documents. A response of an earlier era than one before is an error. The stand-in has a checkpoint and a restore, with the era in all responses.

--- a/eventlog/log.go
+++ b/eventlog/log.go
@@ -35,6 +35,16 @@
 	Records []Record `json:"records"`
 	First   int64    `json:"first"` // lowest offset that is still kept
 	Next    int64    `json:"next"`  // offset that the next append will get
+	Era     int64    `json:"era"`   // see Position
+}
+
+// Position is a place in a stream or table. The log service may come back from an
+// older copy: records that it had acknowledged are gone, and their offsets are given
+// out again. Each time its era rises, and offsets of different eras must not be
+// compared.
+type Position struct {
+	Era    int64
+	Offset int64
 }
 
 // Errors of a Log or of Tables, which come from the log service or from the
@@ -45,6 +55,10 @@
 	ErrUnavailable = errors.New("log service unavailable")
 	// ErrTrimmed reports that the records at the requested offset are no longer kept.
 	ErrTrimmed = errors.New("log records trimmed")
+	// ErrRestored reports that the log service came back from an older copy and that
+	// the requested offset is of an earlier era or beyond the end of the stream.
+	// Records may be missing at any offset; the stream must be read anew.
+	ErrRestored = errors.New("log service restored from an older copy")
 	// ErrInvalid reports that the log service rejected the request as invalid. The
 	// request had no effect.
 	ErrInvalid = errors.New("log request invalid")
@@ -56,7 +70,8 @@
 	// may nevertheless have been added; a retry may then add it a second time.
 	Append(ctx context.Context, stream string, data []byte) (int64, error)
 	// Read returns up to limit records, starting at offset from. When from is no
-	// longer kept, it returns ErrTrimmed and a page in which First and Next are
-	// set.
+	// longer kept, it returns ErrTrimmed and a page in which First, Next and Era are
+	// set; when from lies beyond the end, ErrRestored and a page in which Era is set.
+	// The caller compares Era with that of the records it read before.
 	Read(ctx context.Context, stream string, from int64, limit int) (Page, error)
 }
--- a/eventlog/tables.go
+++ b/eventlog/tables.go
@@ -29,9 +29,10 @@
 	Put(ctx context.Context, table, key string, value []byte) error
 	// Newest returns the entries of all keys and the position from which to call
 	// Follow.
-	Newest(ctx context.Context, table string) ([]TableEntry, int64, error)
+	Newest(ctx context.Context, table string) ([]TableEntry, Position, error)
 	// Follow waits up to wait for records at or after the position from and returns
 	// them, oldest first, with the next position. It returns ErrTrimmed when the
-	// records at that position are no longer kept.
-	Follow(ctx context.Context, table string, from int64, wait time.Duration) ([]TableEntry, int64, error)
+	// records at that position are no longer kept, and ErrRestored when the position
+	// is of an earlier era.
+	Follow(ctx context.Context, table string, from Position, wait time.Duration) ([]TableEntry, Position, error)
 }
--- a/process/control/documents.go
+++ b/process/control/documents.go
@@ -119,27 +119,31 @@
 }
 
 // follow reads the table until ctx ends: with Follow on a reader, else with
-// Newest from time to time. A negative nextOffset makes it read the newest
-// records.
+// Newest from time to time. Without a position it reads the newest records.
 func (d *Documents) follow(ctx context.Context) {
 	source := d.options.Source
-	nextOffset, retryDelay := int64(-1), minRetryDelay
+	var position eventlog.Position
+	known, retryDelay := false, minRetryDelay // whether position is known
 	dependency := record.Dependency{Name: "log service (configuration)"}
 	for ctx.Err() == nil {
-		if nextOffset >= 0 && !d.isReader() {
+		if known && !d.isReader() {
 			d.waitForCheck(ctx)
-			nextOffset = -1
+			known = false
 		}
 		var entries []eventlog.TableEntry
 		var err error
-		if nextOffset < 0 {
-			entries, nextOffset, err = source.Tables.Newest(ctx, source.Table)
+		if known {
+			entries, position, err = source.Tables.Follow(ctx, source.Table, position, followWait)
 		} else {
-			entries, nextOffset, err = source.Tables.Follow(ctx, source.Table, nextOffset, followWait)
+			entries, position, err = source.Tables.Newest(ctx, source.Table)
 		}
 		switch {
 		case errors.Is(err, eventlog.ErrTrimmed):
-			nextOffset = -1
+			known = false
+			continue
+		case errors.Is(err, eventlog.ErrRestored):
+			d.log.Warn().Err(err).Msg("config: the log service was restored, reading the newest documents")
+			known = false
 			continue
 		case err != nil && ctx.Err() != nil:
 			return
@@ -147,8 +151,7 @@
 		if change, ok := dependency.Observe(err); ok {
 			d.record(record.KindDependency, change)
 		}
-		if err != nil {
-			nextOffset = -1 // read the newest records again: the log may have lost the history of this offset
+		if known = err == nil; !known { // read the newest records again: the log may have lost the history of this position
 			sleep(ctx, retryDelay/2+time.Duration(rand.Int64N(int64(retryDelay))))
 			retryDelay = min(2*retryDelay, maxRetryDelay)
 			continue
--- a/standin/logservice/doc.go
+++ b/standin/logservice/doc.go
@@ -6,9 +6,11 @@
 //
 // The handler also serves the control interface of the stand-in:
 //
-//	GET  /v1/faults   Faults as JSON
-//	PUT  /v1/faults   replaces Faults
-//	GET  /v1/counts   Counts as JSON
+//	GET  /v1/faults      Faults as JSON
+//	PUT  /v1/faults      replaces Faults
+//	GET  /v1/counts      Counts as JSON
+//	POST /v1/checkpoint  copies all streams and tables
+//	POST /v1/restore     replaces them by the last copy and raises the era by one
 //
 // It imports eventlog.
 package logservice
--- a/standin/logservice/handler.go
+++ b/standin/logservice/handler.go
@@ -33,7 +33,9 @@
 	mux.HandleFunc("GET /v1/faults", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, 200, s.Faults()) })
 	mux.HandleFunc("PUT /v1/faults", s.serveSetFaults)
 	mux.HandleFunc("GET /v1/counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, 200, s.Counts()) })
-	return mux
+	mux.HandleFunc("POST /v1/checkpoint", func(w http.ResponseWriter, _ *http.Request) { s.Checkpoint(); writeJSON(w, 200, struct{}{}) })
+	mux.HandleFunc("POST /v1/restore", func(w http.ResponseWriter, _ *http.Request) { s.Restore(); writeJSON(w, 200, struct{}{}) })
+	return s.withEra(mux)
 }
 
 type errorResponse struct {
@@ -114,7 +116,7 @@
 	for _, e := range entries {
 		items = append(items, item{Key: e.Key, Value: e.Value})
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"items": items, "truncated": false, "end": next})
+	writeJSON(w, http.StatusOK, map[string]any{"items": items, "truncated": false, "end": next.Offset})
 }
 
 func (s *Service) serveTrim(w http.ResponseWriter, r *http.Request) {
@@ -144,7 +146,7 @@
 func writeError(w http.ResponseWriter, err error, page eventlog.Page) {
 	status := http.StatusServiceUnavailable
 	switch {
-	case errors.Is(err, eventlog.ErrTrimmed):
+	case errors.Is(err, eventlog.ErrTrimmed), errors.Is(err, eventlog.ErrRestored):
 		status = http.StatusGone
 	case errors.Is(err, eventlog.ErrInvalid):
 		status = http.StatusBadRequest
--- a/standin/logservice/service.go
+++ b/standin/logservice/service.go
@@ -59,11 +59,12 @@
 type Service struct {
 	options Options
 
-	mu      sync.Mutex
-	faults  Faults
-	counts  Counts
-	streams map[string]*stream
-	tables  map[string]map[string][]byte // newest value by table and key
+	mu         sync.Mutex
+	faults     Faults
+	counts     Counts
+	image            // tables hold the newest value by table and key
+	checkpoint image // for Restore
+	era        int64
 }
 
 var _ eventlog.Log = (*Service)(nil)
@@ -73,7 +74,7 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	return &Service{options: o, streams: map[string]*stream{}, tables: map[string]map[string][]byte{}}
+	return &Service{options: o, image: copyOf(image{})}
 }
 
 // SetFaults replaces the faults.
@@ -132,10 +133,13 @@
 	defer s.mu.Unlock()
 	st, ok := s.streams[name]
 	if !ok {
-		return eventlog.Page{First: 1, Next: 1}, nil
+		st = &stream{first: 1}
 	}
 	s.applyRetention(st)
-	page := eventlog.Page{First: st.first, Next: st.next()}
+	page := eventlog.Page{First: st.first, Next: st.next(), Era: s.era}
+	if from > page.Next {
+		return page, fmt.Errorf("%w: stream %s from %d, next is %d", eventlog.ErrRestored, name, from, page.Next)
+	}
 	if from < st.first {
 		return page, fmt.Errorf("%w: stream %s from %d, first kept %d", eventlog.ErrTrimmed, name, from, st.first)
 	}
--- a/standin/logservice/table.go
+++ b/standin/logservice/table.go
@@ -56,9 +56,9 @@
 }
 
 // Newest implements eventlog.Tables.
-func (s *Service) Newest(ctx context.Context, table string) ([]eventlog.TableEntry, int64, error) {
+func (s *Service) Newest(ctx context.Context, table string) ([]eventlog.TableEntry, eventlog.Position, error) {
 	if err := s.begin(ctx, func(c *Counts) { c.Reads++ }); err != nil {
-		return nil, 0, err
+		return nil, eventlog.Position{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -67,12 +67,15 @@
 		entries = append(entries, eventlog.TableEntry{Key: key, Value: slices.Clone(value)})
 	}
 	slices.SortFunc(entries, func(a, b eventlog.TableEntry) int { return strings.Compare(a.Key, b.Key) })
-	return entries, s.stream(tablePrefix+table).next() - 1, nil
+	return entries, eventlog.Position{Era: s.era, Offset: s.stream(tablePrefix+table).next() - 1}, nil
 }
 
 // Follow implements eventlog.Tables.
-func (s *Service) Follow(ctx context.Context, table string, from int64, wait time.Duration) ([]eventlog.TableEntry, int64, error) {
-	page, err := s.readWait(ctx, tablePrefix+table, from+1, wait)
+func (s *Service) Follow(ctx context.Context, table string, from eventlog.Position, wait time.Duration) ([]eventlog.TableEntry, eventlog.Position, error) {
+	page, err := s.readWait(ctx, tablePrefix+table, from.Offset+1, wait)
+	if err == nil && page.Era != from.Era {
+		err = fmt.Errorf("%w: table %s from era %d, now %d", eventlog.ErrRestored, table, from.Era, page.Era)
+	}
 	if err != nil {
 		return nil, from, err
 	}
@@ -80,14 +83,14 @@
 	for _, record := range page.Records {
 		entries = append(entries, decodeRecord(record.Data))
 	}
-	return entries, from + int64(len(page.Records)), nil
+	return entries, eventlog.Position{Era: page.Era, Offset: from.Offset + int64(len(page.Records))}, nil
 }
 
 // readWait reads like Read, but waits up to the given time for a first record.
 func (s *Service) readWait(ctx context.Context, topic string, from int64, wait time.Duration) (eventlog.Page, error) {
 	deadline := time.Now().Add(wait)
 	page, err := s.Read(ctx, topic, from, eventlog.MaxPageRecords)
-	for err == nil && len(page.Records) == 0 && time.Now().Before(deadline) {
+	for err == nil && len(page.Records) == 0 && time.Now().Before(deadline) && page.Era == s.Era() {
 		select {
 		case <-ctx.Done():
 			return page, fmt.Errorf("%w: %w", eventlog.ErrUnavailable, ctx.Err())
