process/node: a node writes its address again when the store was restored

What operators could see: after the store came back from a copy that lacks the addresses of the running nodes, a node that starts finds nobody for up to a minute, the time between two reads of the table.

Cause: a node wrote its address only when a read of the table lacked it.

Change: the node checks each second, without a call, whether its client of the store has seen a later era than that of its last read, and then reads again.

--- a/eventlog/tables.go
+++ b/eventlog/tables.go
@@ -19,6 +19,9 @@
 type Store interface {
 	Log
 	Tables
+	// Era returns the highest era of any response so far, see Position. It makes no
+	// call.
+	Era() int64
 }
 
 // Tables is the part of the log service that keeps the newest record of each
--- a/process/node/seeds.go
+++ b/process/node/seeds.go
@@ -11,8 +11,13 @@
 	"github.com/hyssopsill/hyssopsill/version/membership"
 )
 
-// logServiceTimeout bounds the calls of the log service in one exchangeSeeds.
-const logServiceTimeout = 2 * time.Second
+const (
+	// logServiceTimeout bounds the calls of the log service in one exchangeSeeds.
+	logServiceTimeout = 2 * time.Second
+	// eraCheckInterval is the time between checks whether the log service was
+	// restored. A check makes no call.
+	eraCheckInterval = time.Second
+)
 
 // ServeSeeds publishes this node's control address in the table of nodes and
 // reads those of others until ctx ends. The table keeps the newest record of each
@@ -20,7 +25,7 @@
 func (f *fleetView) ServeSeeds(ctx context.Context) error {
 	dependency := record.Dependency{Name: "table of nodes"}
 	for {
-		err := f.exchangeSeeds(ctx)
+		era, err := f.exchangeSeeds(ctx)
 		if change, ok := dependency.Observe(err); ok {
 			f.node.record(record.Record{At: f.node.now(), Node: f.node.options.Settings.Node, Kind: record.KindDependency, Change: &change})
 		}
@@ -28,23 +33,44 @@
 		if err != nil || !f.heardFromPeer() {
 			wait = isolatedSeedsInterval
 		}
+		if !f.waitForSeeds(ctx, wait, era) {
+			return ctx.Err()
+		}
+	}
+}
+
+// waitForSeeds waits until the table is to be read again: after d, or when the log
+// service was restored since the given era and may have lost this node's address. It
+// reports whether ctx is still active.
+func (f *fleetView) waitForSeeds(ctx context.Context, d time.Duration, era int64) bool {
+	due := time.NewTimer(d)
+	defer due.Stop()
+	check := time.NewTicker(eraCheckInterval)
+	defer check.Stop()
+	for {
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(wait):
+			return false
+		case <-due.C:
+			return true
+		case <-check.C:
+		}
+		if now := f.node.options.LogService.Era(); now > era {
+			f.node.log.Warn().Int64("era", now).Msg("node: the log service was restored, reading the table of nodes again")
+			return true
 		}
 	}
 }
 
 // exchangeSeeds reads the table and writes this node's address unless the table
 // has it, as after a restart. Two nodes that start at the same time find each
-// other at the next read.
-func (f *fleetView) exchangeSeeds(ctx context.Context) error {
+// other at the next read. It returns the era of the table that it read.
+func (f *fleetView) exchangeSeeds(ctx context.Context) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, logServiceTimeout)
 	defer cancel()
-	entries, _, err := f.node.options.LogService.Newest(ctx, eventlog.TableNodes)
+	entries, position, err := f.node.options.LogService.Newest(ctx, eventlog.TableNodes)
 	if err != nil {
-		return err
+		return f.node.options.LogService.Era(), err
 	}
 	f.setSeeds(entries)
 	address := f.node.options.Settings.Advertise.PeerControl
@@ -55,9 +81,9 @@
 		return e.Key == f.node.options.Settings.Node && string(e.Value) == address
 	})
 	if published {
-		return nil
+		return position.Era, nil
 	}
-	return f.node.options.LogService.Put(ctx, eventlog.TableNodes, f.node.options.Settings.Node, []byte(address))
+	return position.Era, f.node.options.LogService.Put(ctx, eventlog.TableNodes, f.node.options.Settings.Node, []byte(address))
 }
 
 // setSeeds gives the membership the seeds of the settings and up to maxSeeds
--- a/standin/logservice/restore.go
+++ b/standin/logservice/restore.go
@@ -45,7 +45,7 @@
 	s.era++
 }
 
-// Era returns the number of times that the service was restored.
+// Era implements eventlog.Store: the number of times that the service was restored.
 func (s *Service) Era() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
