version/document: a document that is published again under a lost version comes into force

What operators could see: after a restore of the store, an operator publishes another document under a version that the store lost. Nodes that had the lost document kept it, nodes that start later took the new one, until the next version.

Cause: only a higher version replaced the document in force.

Change: another content of the same version, read from the log service itself, replaces it and is logged. An older version never replaces a newer one.

Evidence: TestDocumentReplacesLostOneOfSameVersion; before the change Offer returns old for "7 b". TestDocumentsFollowTable now restores the store twice.

--- a/process/control/documents.go
+++ b/process/control/documents.go
@@ -114,7 +114,7 @@
 		return
 	}
 	for _, e := range response.GetEntries() {
-		d.offer(e.GetData(), "peer "+p.Node)
+		d.offer(e.GetData(), document.FromPeer, "peer "+p.Node)
 	}
 }
 
@@ -159,7 +159,7 @@
 		retryDelay = minRetryDelay
 		for _, e := range entries {
 			if e.Key == source.Key && len(e.Value) > 0 {
-				d.offer(e.Value, "log service")
+				d.offer(e.Value, document.FromLog, "log service")
 			}
 		}
 	}
@@ -193,10 +193,11 @@
 	}
 }
 
-// offer puts a document in force if it is newer, and then pushes it to peers.
-func (d *Documents) offer(data []byte, source string) {
+// offer puts a document in force if it is newer, and then pushes it to peers. The
+// sender is named in the record of a refused document.
+func (d *Documents) offer(data []byte, source document.Source, sender string) {
 	d.mu.Lock()
-	outcome, err := d.core.Offer(data)
+	outcome, err := d.core.Offer(data, source)
 	version := d.core.Version()
 	var pushPeers []distribute.Peer
 	if outcome == document.InForce {
@@ -205,7 +206,10 @@
 	d.mu.Unlock()
 	if err != nil {
 		d.record(record.KindVersion, record.Change{Subject: "document", From: strconv.FormatInt(version, 10), To: "unchanged",
-			Why: "the document from " + source + " is refused: " + err.Error()})
+			Why: "the document from " + sender + " is refused: " + err.Error()})
+	}
+	if outcome == document.Reissued {
+		d.log.Warn().Int64("version", version).Msg("config: the operator published another document under the version in force, after a restore of the log service")
 	}
 	for _, p := range pushPeers {
 		d.calls.start(func(ctx context.Context) {
@@ -219,7 +223,7 @@
 // returns the one in force if it is newer than the peer's.
 func (d *Documents) Configuration(_ context.Context, r *controlpb.ConfigurationRequest) (*controlpb.ConfigurationResponse, error) {
 	for _, e := range r.GetEntries() {
-		d.offer(e.GetData(), "peer "+r.GetFrom())
+		d.offer(e.GetData(), document.FromPeer, "peer "+r.GetFrom())
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/process/control/documents_test.go
+++ b/process/control/documents_test.go
@@ -19,8 +19,8 @@
 )
 
 // Guards against a node that stops following the table when the table's history
-// is trimmed or the log service is down, and against one that then puts an older
-// document in force.
+// is trimmed, or the log service is down or comes back from an older copy, and
+// against one that then puts an older document in force.
 func TestDocumentsFollowTable(t *testing.T) {
 	log := logservice.New(logservice.Options{MaxRecords: 1})
 	decode := func(data []byte) (*config.Config, error) {
@@ -74,6 +74,7 @@
 	put("config", "2")
 	put("config", "5")
 	waitForVersion(5)
+	log.Checkpoint()
 	log.SetFaults(logservice.Faults{Outage: true})
 	if _, err := documents.Configuration(ctx, &controlpb.ConfigurationRequest{From: "n2", Entries: []*controlpb.Entry{{Offset: 7, Data: []byte("7")}}}); err != nil {
 		t.Fatal(err)
@@ -82,8 +83,17 @@
 	log.SetFaults(logservice.Faults{})
 	put("config", "8")
 	waitForVersion(8)
+	log.Restore() // to version 5; the next records get the offsets of versions 7 and 8
+	put("config", "9")
+	put("other", "1")
+	put("other", "2")
+	waitForVersion(9)
+	log.Restore()
+	put("config", "6")
+	put("config", "10")
+	waitForVersion(10)
 	response, err := documents.Configuration(ctx, &controlpb.ConfigurationRequest{From: "n2", After: 7, Limit: 1})
-	if err != nil || len(response.Entries) != 1 || string(response.Entries[0].Data) != "8" {
+	if err != nil || len(response.Entries) != 1 || string(response.Entries[0].Data) != "10" {
 		t.Fatalf("a peer with an older version gets %+v, %v", response, err)
 	}
 }
--- a/version/document/core.go
+++ b/version/document/core.go
@@ -1,7 +1,9 @@
 package document
 
 import (
+	"bytes"
 	"math/rand/v2"
+	"reflect"
 	"slices"
 	"time"
 
@@ -42,9 +44,18 @@
 type Outcome string
 
 const (
-	InForce Outcome = "in force" // newer than the one before, which it replaces
-	Old     Outcome = "old"      // not newer than the one in force
-	Refused Outcome = "refused"  // Options.Decode returned an error
+	InForce  Outcome = "in force" // newer than the one before, which it replaces
+	Reissued Outcome = "reissued" // another document of the version in force, which it replaces
+	Old      Outcome = "old"      // not newer than the one in force
+	Refused  Outcome = "refused"  // Options.Decode returned an error
+)
+
+// Source is where a document comes from.
+type Source int
+
+const (
+	FromLog  Source = iota + 1 // read from the log service
+	FromPeer                   // forwarded by another node
 )
 
 // Core holds the document in force. It is not safe for concurrent use.
@@ -87,24 +98,44 @@
 	return distribute.Rank("document reader", c.options.Node, c.peers, sameDomain) < DefaultReaders
 }
 
-// Offer puts a document from the log service or a peer in force if it is valid and
-// newer. The error says why a document was refused.
-func (c *Core) Offer(data []byte) (Outcome, error) {
+// Offer puts a document in force if it is valid and newer. The error says why a
+// document was refused.
+//
+// After a restore of the log service from an older copy, an operator may publish
+// another document under a version that the service lost. The one in the log service
+// replaces the one in force. Nodes take it from the log service only, since peers
+// cannot tell which of the two is the later one.
+func (c *Core) Offer(data []byte, source Source) (Outcome, error) {
 	next, err := c.options.Decode(data)
 	if err != nil {
 		return Refused, err
 	}
-	if next.Version <= c.Version() {
+	outcome := InForce
+	switch {
+	case next.Version > c.Version():
+	case next.Version == c.Version() && source == FromLog && c.differs(data, next):
+		outcome = Reissued
+	default:
 		return Old, nil
 	}
 	if c.reporter != nil {
-		c.reporter.Check(invariant.ConfigForward, next.Version > c.Version(), "version %d after %d", next.Version, c.Version())
+		c.reporter.Check(invariant.ConfigForward, next.Version >= c.Version(), "version %d after %d", next.Version, c.Version())
 	}
 	c.config, c.data = next, slices.Clone(data)
 	if c.options.OnConfig != nil {
 		c.options.OnConfig(next)
 	}
-	return InForce, nil
+	return outcome, nil
+}
+
+// differs reports whether a document has another content than the one in force. Two
+// encodings of one content do not differ.
+func (c *Core) differs(data []byte, decoded *config.Config) bool {
+	if bytes.Equal(data, c.data) {
+		return false
+	}
+	current, err := c.options.Decode(c.data) // c.config may have been changed by its users
+	return err != nil || !reflect.DeepEqual(decoded, current)
 }
 
 // NewerThan returns the document in force and whether it is newer than a version.
--- a/version/document/core_test.go
+++ b/version/document/core_test.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -15,13 +17,15 @@
 
 var errMalformed = errors.New("broken")
 
-// decode reads a document that consists of its version in decimal digits.
+// decode reads a document that consists of its version in decimal digits and, after
+// a space, the name of the customer header.
 func decode(data []byte) (*config.Config, error) {
-	version, err := strconv.ParseInt(string(data), 10, 64)
+	digits, header, _ := strings.Cut(string(data), " ")
+	version, err := strconv.ParseInt(digits, 10, 64)
 	if err != nil {
 		return nil, errMalformed
 	}
-	return &config.Config{Version: version}, nil
+	return &config.Config{Version: version, CustomerHeader: strings.TrimSpace(header)}, nil
 }
 
 func newCore(onConfig func(*config.Config)) *Core {
@@ -36,12 +40,12 @@
 		c := newCore(func(c *config.Config) { inForce = append(inForce, c.Version) })
 		highest := int64(0)
 		for _, v := range rapid.SliceOf(rapid.Int64Range(1, 20)).Draw(t, "versions") {
-			outcome, err := c.Offer([]byte(strconv.FormatInt(v, 10)))
+			outcome, err := c.Offer([]byte(strconv.FormatInt(v, 10)), FromPeer)
 			if err != nil || (outcome == InForce) != (v > highest) {
 				t.Fatalf("version %d after %d: %s, %v", v, highest, outcome, err)
 			}
 			highest = max(highest, v)
-			if outcome, err := c.Offer([]byte("no number")); outcome != Refused || !errors.Is(err, errMalformed) {
+			if outcome, err := c.Offer([]byte("no number"), FromLog); outcome != Refused || !errors.Is(err, errMalformed) {
 				t.Fatalf("malformed document: %s, %v", outcome, err)
 			}
 			if c.Version() != highest {
@@ -56,6 +60,32 @@
 	})
 }
 
+// Guards against nodes that stay on different documents when the operator publishes
+// another one under a version that the log service lost.
+func TestDocumentReplacesLostOneOfSameVersion(t *testing.T) {
+	var inForce []string
+	c := newCore(func(c *config.Config) { inForce = append(inForce, c.CustomerHeader) })
+	for _, step := range []struct {
+		data   string
+		source Source
+		want   Outcome
+	}{
+		{"7 a", FromLog, InForce},
+		{"7  a", FromLog, Old}, // another encoding of the same content
+		{"7 b", FromPeer, Old}, // a peer's may be the lost one
+		{"6 c", FromLog, Old},
+		{"7 b", FromLog, Reissued},
+		{"7 b", FromLog, Old},
+	} {
+		if outcome, err := c.Offer([]byte(step.data), step.source); outcome != step.want || err != nil {
+			t.Errorf("document %q: %s, %v, want %s", step.data, outcome, err, step.want)
+		}
+	}
+	if want := []string{"a", "b"}; !slices.Equal(inForce, want) {
+		t.Errorf("documents in force: %v, want %v", inForce, want)
+	}
+}
+
 // Guards against a node that stays on an old document when it can't read the log
 // service and no peer forwards a new one: it must request one from a peer with a
 // newer version (from any peer while it has no document), and not too often. Also
@@ -73,7 +103,7 @@
 	if _, ok := c.NewerPeer(now.Add(requestInterval / 2)); ok {
 		t.Fatal("requests again at once")
 	}
-	if _, err := c.Offer([]byte("5")); err != nil {
+	if _, err := c.Offer([]byte("5"), FromPeer); err != nil {
 		t.Fatal(err)
 	}
 	c.SetPeers([]distribute.Peer{{Node: "n1", Version: 5}, {Node: "n2", Version: 4}})
@@ -113,7 +143,7 @@
 		}
 		for queue := []string{"n0"}; len(queue) > 0; queue = queue[1:] {
 			c := cores[queue[0]]
-			if outcome, _ := c.Offer([]byte("7")); outcome == InForce {
+			if outcome, _ := c.Offer([]byte("7"), FromPeer); outcome == InForce {
 				for _, p := range c.PushPeers() {
 					queue = append(queue, p.Node)
 				}
