process/node: one failed accept no longer closes a listener for good

What callers could see: connections to the entry, the gate or the admin listener refused until the restart of the process, while /readyz still returned 200.

Cause: net/http retries an accept only after some errors, such as too many open files. After any other (EPROTO, ENOBUFS, ENOMEM, a pending network error), Serve returns and closes the listener, so that the supervisor's restart of the service gets a closed listener each time.

Change: the listener retries after 50 ms and reports an error only once it is closed, as the control server does. The first failure and the recovery are logged.

--- a/process/node/listen.go
+++ b/process/node/listen.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -20,7 +21,7 @@
 	metrics                                        net.Listener // nil when the settings give no address
 }
 
-func (l *listeners) open(s settings.Settings) error {
+func (l *listeners) open(s settings.Settings, logger zerolog.Logger) error {
 	for _, spec := range []struct {
 		name, address string
 		to            *net.Listener
@@ -40,7 +41,7 @@
 			l.close()
 			return fmt.Errorf("node: listener %s: %w", spec.name, err)
 		}
-		*spec.to = limitConnections(listener, s.Limits.Connections)
+		*spec.to = limitConnections(spec.name, listener, s.Limits.Connections, logger)
 	}
 	return nil
 }
@@ -61,13 +62,20 @@
 }
 
 // limitConnections bounds the open connections of a listener. Accept waits
-// while the bound is reached.
-func limitConnections(l net.Listener, n int) net.Listener {
-	return &limitedListener{Listener: l, slots: make(chan struct{}, n), closed: make(chan struct{})}
+// while the bound is reached, and retries after an error: an HTTP server that gets one
+// closes its listener, which would refuse callers until the process ends.
+func limitConnections(name string, l net.Listener, n int, logger zerolog.Logger) net.Listener {
+	return &limitedListener{Listener: l, name: name, log: logger, slots: make(chan struct{}, n), closed: make(chan struct{})}
 }
 
+// acceptRetryDelay is the delay after a failed accept, which may fail for as long as
+// the process has no file descriptor or the host no memory.
+const acceptRetryDelay = 50 * time.Millisecond
+
 type limitedListener struct {
 	net.Listener
+	name      string
+	log       zerolog.Logger
 	slots     chan struct{}
 	closed    chan struct{}
 	closeOnce sync.Once
@@ -79,7 +87,7 @@
 	case <-l.closed:
 		return nil, net.ErrClosed
 	}
-	conn, err := l.Listener.Accept()
+	conn, err := l.acceptRetrying()
 	if err != nil {
 		<-l.slots
 		return nil, err
@@ -87,6 +95,29 @@
 	return &limitedConn{Conn: conn, release: func() { <-l.slots }}, nil
 }
 
+// acceptRetrying accepts a connection. It fails only when the listener is closed.
+func (l *limitedListener) acceptRetrying() (net.Conn, error) {
+	failing := false
+	for {
+		conn, err := l.Listener.Accept()
+		switch {
+		case err == nil && failing:
+			l.log.Info().Str("listener", l.name).Msg("node: connections are accepted again")
+			return conn, nil
+		case err == nil, errors.Is(err, net.ErrClosed):
+			return conn, err
+		case !failing:
+			failing = true
+			l.log.Error().Err(err).Str("listener", l.name).Msg("node: a connection cannot be accepted, retrying")
+		}
+		select {
+		case <-l.closed:
+			return nil, net.ErrClosed
+		case <-time.After(acceptRetryDelay):
+		}
+	}
+}
+
 func (l *limitedListener) Close() error {
 	l.closeOnce.Do(func() { close(l.closed) })
 	return l.Listener.Close()
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -94,7 +94,7 @@
 		o.AnnounceHandler = (*gate.Gate).AnnounceHandler
 	}
 	node := &Node{options: o, now: o.Now, log: o.Log}
-	if err := node.listeners.open(o.Settings); err != nil {
+	if err := node.listeners.open(o.Settings, o.Log); err != nil {
 		return nil, err
 	}
 	node.runContext, node.stop = context.WithCancelCause(context.Background())
