cmd/hyssopsilld: handle signals from the start of the process

What callers could see: connections reset by a node that was stopped or told of changed settings while it started. A SIGHUP ended it, which nobody had asked for.

Cause: the handlers were registered after the settings were read and the listeners opened. Until then SIGTERM, SIGINT and SIGHUP had their default action, although callers could already connect.

Change: serve registers the handlers first. A signal that arrives earlier than the node is built takes effect right after that: SIGTERM starts a drain, SIGHUP a reload.

--- a/cmd/hyssopsilld/main.go
+++ b/cmd/hyssopsilld/main.go
@@ -114,6 +114,11 @@
 
 // serve runs a node until a signal starts its drain and the drain ends.
 func serve(ctx context.Context, c *cli.Command, env environment) error {
+	// Signals come first: until a signal has a handler, its default action ends the
+	// process, with the connections that the listeners have accepted by then.
+	signals, reloads := make(chan os.Signal, 2), make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reloads, syscall.SIGHUP)
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(env.gcPercent)
 	}
@@ -138,8 +143,6 @@
 	}
 	ctx, drain := context.WithCancel(ctx)
 	defer drain()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
 		first := <-signals
 		logger.Info().Str("signal", first.String()).Msg("node: signal received, draining")
@@ -154,8 +157,6 @@
 			n.ExtendDrain()
 		}
 	}()
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
 	go watchReload(reloads, c.String("settings"), s, logger)
 	err = n.Serve(ctx)
 	logger.Info().AnErr("cause", err).Msg("node: stopped")
