cmd/hyssopsilld: a closed log output no longer ends the node

What callers could see: all requests of a node end without an answer when the process that reads its standard output or error ends.

Cause: Go ends a process that writes to file descriptor 1 or 2 without a reader, unless SIGPIPE is handled or ignored.

Change: serve ignores SIGPIPE. The write fails and the line is lost.

Evidence: TestClosedLogOutputDoesNotEndNode failed before ("the node ended with signal: broken pipe") and passes in 3 of 3 runs with the race detector.

--- a/cmd/hyssopsilld/main.go
+++ b/cmd/hyssopsilld/main.go
@@ -119,6 +119,7 @@
 	signals, reloads := make(chan os.Signal, 2), make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(reloads, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE) // else a write to standard output or error without a reader ends the process
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(env.gcPercent)
 	}
--- a/cmd/hyssopsilld/signal_test.go
+++ b/cmd/hyssopsilld/signal_test.go
@@ -1,9 +1,13 @@
 package main_test
 
 import (
+	"bufio"
 	"fmt"
+	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"syscall"
 	"testing"
@@ -27,6 +31,45 @@
 `, fleetToken)
 }
 
+// Guards against a node that ends when the reader of its log does.
+func TestClosedLogOutputDoesNotEndNode(t *testing.T) {
+	t.Parallel()
+	file := filepath.Join(t.TempDir(), "n1.toml")
+	writeFile(t, file, singleNodeSettings())
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(filepath.Join(binaries, "hyssopsilld"), "run", "--settings", file)
+	cmd.Stderr = writer
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	_ = writer.Close()
+	exited := make(chan error, 1)
+	go func() { exited <- cmd.Wait() }()
+	t.Cleanup(func() { _ = cmd.Process.Kill() })
+	line, err := bufio.NewReader(reader).ReadString('\n')
+	match := regexp.MustCompile(`"admin":"([^"]+)"`).FindStringSubmatch(line)
+	if match == nil {
+		t.Fatalf("first line %q, error %v", line, err)
+	}
+	_ = reader.Close()
+	for range 3 { // each writes a line
+		_ = cmd.Process.Signal(syscall.SIGHUP)
+		time.Sleep(100 * time.Millisecond)
+	}
+	if resp, err := http.Get("http://" + match[1] + "/healthz"); err != nil {
+		t.Errorf("after the reader closed: %v", err)
+	} else {
+		_ = resp.Body.Close()
+	}
+	_ = cmd.Process.Signal(syscall.SIGTERM)
+	if err := <-exited; err != nil {
+		t.Errorf("the node ended with %v", err)
+	}
+}
+
 // Guards against a signal that ends the process while it starts, and against one that
 // is lost then.
 func TestSignalsDuringStart(t *testing.T) {
