process/node: the shutdown of a listener answers requests that are on their way

What callers saw: a connection closed without an answer, although the node had accepted it and read the whole request. For work that may run once, the caller cannot tell that from a lost response.

Cause: the drain called http.Server.Shutdown. From then on net/http drops each request that it has read and not handed to its handler: the first one of a connection accepted before, and one on a kept connection whose bytes were read but not parsed. It takes such a connection for idle and closes it.

Change: the drain closes the listener and ends idle connections by a read deadline, which is withdrawn when a byte of a request was read before it took effect. Requests read later are served, with Connection: close. A new connection without a byte ends after 1 s (5 to 6 s with net/http, which was longer than what the platform leaves after the notice). The wait covers every connection that Accept has returned.

--- a/process/node/drain.go
+++ b/process/node/drain.go
@@ -123,7 +123,7 @@
 // shutdown closes the listener of a server and waits for its running requests.
 // Those that remain when ctx ends are cut, counted and logged.
 func (n *Node) shutdown(ctx context.Context, s *httpService) {
-	err := s.server.Shutdown(ctx)
+	err := s.shutdown(ctx)
 	remaining := int64(n.gate.Running())
 	if s == n.servers.caller {
 		remaining = n.entry.Active()
--- a/process/node/listen.go
+++ b/process/node/listen.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -17,14 +18,14 @@
 
 // listeners are the listeners of a node. They stay open while services restart.
 type listeners struct {
-	caller, peerData, peerControl, announce, admin net.Listener
-	metrics                                        net.Listener // nil when the settings give no address
+	caller, peerData, peerControl, announce, admin *limitedListener
+	metrics                                        *limitedListener // nil when the settings give no address
 }
 
 func (l *listeners) open(s settings.Settings, logger zerolog.Logger) error {
 	for _, spec := range []struct {
 		name, address string
-		to            *net.Listener
+		to            **limitedListener
 	}{
 		{"caller", s.Listen.Caller, &l.caller},
 		{"peer_data", s.Listen.PeerData, &l.peerData},
@@ -47,7 +48,7 @@
 }
 
 func (l *listeners) close() {
-	for _, listener := range []net.Listener{l.caller, l.peerData, l.peerControl, l.announce, l.admin, l.metrics} {
+	for _, listener := range []*limitedListener{l.caller, l.peerData, l.peerControl, l.announce, l.admin, l.metrics} {
 		if listener != nil {
 			_ = listener.Close() // its server may have closed it
 		}
@@ -64,7 +65,7 @@
 // limitConnections bounds the open connections of a listener. Accept waits
 // while the bound is reached, and retries after an error: an HTTP server that gets one
 // closes its listener, which would refuse callers until the process ends.
-func limitConnections(name string, l net.Listener, n int, logger zerolog.Logger) net.Listener {
+func limitConnections(name string, l net.Listener, n int, logger zerolog.Logger) *limitedListener {
 	return &limitedListener{Listener: l, name: name, log: logger, slots: make(chan struct{}, n), closed: make(chan struct{})}
 }
 
@@ -92,7 +93,7 @@
 		<-l.slots
 		return nil, err
 	}
-	return &limitedConn{Conn: conn, release: func() { <-l.slots }}, nil
+	return &limitedConn{Conn: conn, release: func() { <-l.slots }, acceptedAt: time.Now()}, nil
 }
 
 // acceptRetrying accepts a connection. It fails only when the listener is closed.
@@ -118,6 +119,9 @@
 	}
 }
 
+// open returns the number of open connections, and 1 more while Accept waits.
+func (l *limitedListener) open() int { return len(l.slots) }
+
 func (l *limitedListener) Close() error {
 	l.closeOnce.Do(func() { close(l.closed) })
 	return l.Listener.Close()
@@ -127,28 +131,158 @@
 	net.Conn
 	releaseOnce sync.Once
 	release     func()
+
+	mu         sync.Mutex
+	phase      connPhase
+	acceptedAt time.Time
+	endsIdle   bool // reads fail until one has returned a byte
 }
 
+// connPhase is what a connection of an HTTP server does.
+type connPhase int
+
+const (
+	phaseNew    connPhase = iota // no byte was read yet
+	phaseActive                  // a request was read in part, or runs
+	phaseIdle                    // no byte was read since the last response
+)
+
 func (c *limitedConn) Close() error {
 	c.releaseOnce.Do(c.release)
 	return c.Conn.Close()
 }
 
+func (c *limitedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.mu.Lock()
+		c.phase = phaseActive
+		if c.endsIdle { // the byte was read before endIdle took effect
+			c.endsIdle = false
+			_ = c.Conn.SetReadDeadline(time.Time{}) // the server sets the one of the request
+		}
+		c.mu.Unlock()
+	}
+	return n, err
+}
+
+// SetReadDeadline has no effect after endIdle.
+func (c *limitedConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.endsIdle {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+func (c *limitedConn) setIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase = phaseIdle
+}
+
+// newConnectionWait is how long a new connection may stay without a byte once its
+// server shuts down. Callers send a request within milliseconds.
+const newConnectionWait = time.Second
+
+// endIdle makes the server close the connection if no request was read in part.
+func (c *limitedConn) endIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	waits := c.phase == phaseIdle || (c.phase == phaseNew && now.Sub(c.acceptedAt) > newConnectionWait)
+	if waits && !c.endsIdle {
+		c.endsIdle = true
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection is closed
+	}
+}
+
 // httpService runs one HTTP server on a listener of the node.
 type httpService struct {
 	name     string
-	listener net.Listener
+	listener *limitedListener
 	server   *http.Server
+	closing  atomic.Bool // shutdown was called
+
+	mu          sync.Mutex
+	connections map[*limitedConn]struct{}
 }
 
-func newHTTPService(name string, l net.Listener, h http.Handler, limits settings.Limits, logger zerolog.Logger) *httpService {
-	return &httpService{name: name, listener: l, server: &http.Server{
-		Handler:           h,
+func newHTTPService(name string, l *limitedListener, h http.Handler, limits settings.Limits, logger zerolog.Logger) *httpService {
+	s := &httpService{name: name, listener: l, connections: map[*limitedConn]struct{}{}}
+	s.server = &http.Server{
+		Handler:           s.closeAfter(h),
 		MaxHeaderBytes:    limits.HeaderBytes,
 		ReadHeaderTimeout: limits.ReadHeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		ErrorLog:          log.New(logWriter{logger, name}, "", 0),
-	}}
+		ConnState:         s.observeState,
+	}
+	return s
+}
+
+// closeAfter makes responses close their connection during a shutdown.
+func (s *httpService) closeAfter(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.closing.Load() {
+			w.Header()["Connection"] = []string{"close"}
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// observeState follows the states of the connections.
+func (s *httpService) observeState(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*limitedConn)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		s.connections[c] = struct{}{}
+	case http.StateIdle:
+		c.setIdle()
+		if s.closing.Load() {
+			c.endIdle(time.Now())
+		}
+	case http.StateClosed, http.StateHijacked:
+		delete(s.connections, c)
+	}
+}
+
+const (
+	minShutdownPoll = 5 * time.Millisecond
+	maxShutdownPoll = 50 * time.Millisecond
+)
+
+// shutdown closes the listener, ends the idle connections and waits until the others
+// have ended or ctx ends. http.Server.Shutdown would drop the requests that it reads
+// from then on, among them those on their way on connections accepted before.
+func (s *httpService) shutdown(ctx context.Context) error {
+	s.closing.Store(true)
+	_ = s.listener.Close()
+	for poll := minShutdownPoll; ; poll = min(2*poll, maxShutdownPoll) {
+		s.endIdleConnections()
+		if s.listener.open() == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(poll):
+		}
+	}
+}
+
+func (s *httpService) endIdleConnections() {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.connections {
+		c.endIdle(now)
+	}
 }
 
 func (s *httpService) String() string { return "listener " + s.name }
@@ -158,7 +292,7 @@
 func (s *httpService) Serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
 	defer stop()
-	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) && !s.closing.Load() {
 		return fmt.Errorf("node: listener %s: %w", s.name, err)
 	}
 	<-ctx.Done()
