process/node: a signal near the drain timeout extends the delivery of responses

What callers could see: a download cut at the end of the first grace period although a repeated SIGTERM had started another one.

Cause: extend did nothing once the requests that wait for a target had got their response, at 0.9 of the timeout. Responses in delivery continue after that and were cut at the end of the first timeout.

Change: the time until the cut begins again in any case.

Evidence: TestSignalNearDrainTimeoutExtendsDelivery failed before ("cut after 10s", want 19.5s).

--- a/process/node/drain.go
+++ b/process/node/drain.go
@@ -97,13 +97,17 @@
 	}
 }
 
-// extend restarts a running timeout, unless endWaiting has been called.
+// extend restarts a running timeout. Once endWaiting has been called, only the time
+// until cut begins again, for the responses that are still being delivered.
 func (t *drainTimer) extend(timeout time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.endWaiting != nil && t.endWaiting.Stop() && t.cut.Stop() {
+	if t.cut == nil || !t.cut.Stop() {
+		return
+	}
+	t.cut.Reset(timeout)
+	if t.endWaiting.Stop() {
 		t.endWaiting.Reset(endWaitingAfter(timeout))
-		t.cut.Reset(timeout)
 	}
 }
 
--- a/process/node/drain_test.go
+++ b/process/node/drain_test.go
@@ -79,3 +79,21 @@
 		}
 	})
 }
+
+// Guards against a repeated signal in the last tenth of the drain timeout that does not
+// give responses in delivery the further time.
+func TestSignalNearDrainTimeoutExtendsDelivery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		startedAt := time.Now()
+		var endedWaitingAfter, cutAfter time.Duration
+		var timer drainTimer
+		timer.start(10*time.Second, func() { endedWaitingAfter = time.Since(startedAt) }, func() { cutAfter = time.Since(startedAt) })
+		time.Sleep(9500 * time.Millisecond)
+		timer.extend(10 * time.Second)
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		if endedWaitingAfter != 9*time.Second || cutAfter != 19500*time.Millisecond {
+			t.Errorf("ended waiting requests after %s, cut after %s, want 9s and 19.5s", endedWaitingAfter, cutAfter)
+		}
+	})
+}
