soak: check how each process ended

The history records the exit status or signal of each process that ended, and the signals that the soak had sent to it. The guarantee requested-end allows status 0 after SIGTERM, SIGKILL from the soak, and status 1 of a target that ran a request which crashes targets. SIGHUP may end a process before its first line of output: no program can handle it before its main function runs.

--- a/soak/check.go
+++ b/soak/check.go
@@ -28,6 +28,7 @@
 	Budget        Guarantee = "budget"          // retries stay within the retry budget
 	PoisonLimit   Guarantee = "poison"          // a request crashes at most two targets
 	Recovery      Guarantee = "recovery"        // all nodes and targets serve again after the faults
+	RequestedEnd  Guarantee = "requested-end"   // a process ends only by what the soak did
 )
 
 // Violation describes one case in which a guarantee did not hold.
@@ -59,6 +60,7 @@
 		{AtMostOnce, checkAtMostOnce}, {NotRun, checkNotRun}, {OwnAnswer, checkOwnAnswer}, {NoCut, checkNoCut},
 		{GracefulStop, func(h *History) []string { return h.Stuck }}, {Leaving, checkLeaving}, {Floor, checkFloor},
 		{ConfigForward, checkConfigForward}, {Budget, checkBudget}, {PoisonLimit, checkPoison}, {Recovery, checkRecovery},
+		{RequestedEnd, checkEnds},
 	} {
 		for _, detail := range c.check(h) {
 			out = append(out, Violation{c.guarantee, detail})
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -36,7 +36,13 @@
 		Calls:      []Call{answeredCall("key a"), answeredCall("b"), notRun, afterNotice, unwritten},
 		Executions: []target.Execution{execution("t1", "a", 1), execution("t2", "b", 1), execution("t2", "c", 9.9)},
 		Stops:      []Stop{{Node: "n1", StartedAt: atSecond(8), EndedAt: atSecond(10)}},
-		Drains:     []Drain{{Target: "t2", From: atSecond(10), To: atSecond(11)}},
+		Ends: []ProcessEnd{
+			{Process: "n1", StartedAt: startTime, EndedAt: atSecond(10), ReloadAt: atSecond(9), TermAt: atSecond(8)},
+			{Process: "n2", StartedAt: startTime, EndedAt: atSecond(5), Status: -1, Signal: "killed", KillAt: atSecond(5)},
+			{Process: "n2", StartedAt: atSecond(6), EndedAt: atSecond(6.01), Status: -1, Signal: "hangup", Silent: true, ReloadAt: atSecond(6.01)},
+			{Process: "t1", StartedAt: startTime, EndedAt: atSecond(3.1), Status: 1}, // by a poison request
+		},
+		Drains: []Drain{{Target: "t2", From: atSecond(10), To: atSecond(11)}},
 		Views: []View{
 			{At: atSecond(1), Node: "n1", Incarnation: attempt.Incarnation{StartedMS: 1}, Version: 4,
 				Targets: []telemetry.TargetStatus{{ID: "t1", InSubset: true}, {ID: "t2", InSubset: true, Ejected: true}, {ID: "t3", Leaving: true, Ejected: true}}},
@@ -96,6 +102,12 @@
 			h.Executions = append(h.Executions, target.Execution{At: atSecond(3), Target: "t3", Crash: "poison"})
 		}},
 		{Recovery, func(h *History) { h.Unready = "n2 is not ready" }},
+		{RequestedEnd, func(h *History) { h.Ends[0].Signal, h.Ends[0].Status = "hangup", -1 }}, // during its drain
+		{RequestedEnd, func(h *History) { h.Ends[0].Status = 3 }},                              // as after a second SIGTERM
+		{RequestedEnd, func(h *History) { h.Ends[0].TermAt = time.Time{} }},
+		{RequestedEnd, func(h *History) { h.Ends[1].KillAt = time.Time{} }},
+		{RequestedEnd, func(h *History) { h.Ends[2].Silent = false }},
+		{RequestedEnd, func(h *History) { h.Ends[3].StartedAt = atSecond(3.05) }}, // after the poison request
 	} {
 		h := compliantHistory()
 		c.violate(h)
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -108,7 +108,7 @@
 	if f.log, err = f.start("log", "hyssopsill-standin", "log", "--listen", anyPort); err != nil {
 		return f, err
 	}
-	address, err := f.log.waitForOutput(ctx, 0, logListenPattern)
+	address, err := f.log.waitForOutput(ctx, logListenPattern)
 	if err != nil {
 		return f, err
 	}
@@ -170,14 +170,13 @@
 	if err := os.WriteFile(n.settingsFile, []byte(text), 0o600); err != nil {
 		return err
 	}
-	offset := outputSize(filepath.Join(f.options.Dir, n.name+".log"))
 	p, err := f.start(n.name, "hyssopsilld", "run", "--settings", n.settingsFile)
 	if err != nil {
 		return err
 	}
 	for key, address := range map[string]*string{"caller": &n.caller, "peer_data": &n.data, "peer_control": &n.control,
 		"announce": &n.announce, "admin": &n.admin} {
-		listenAddress, err := p.waitForOutput(ctx, offset, regexp.MustCompile(`"`+key+`":"([^"]+)"`))
+		listenAddress, err := p.waitForOutput(ctx, regexp.MustCompile(`"`+key+`":"([^"]+)"`))
 		if err != nil {
 			return err
 		}
@@ -194,14 +193,13 @@
 
 // startTarget starts the process of a target, after a restart on its previous addresses.
 func (f *fleet) startTarget(ctx context.Context, target *targetProcess) error {
-	offset := outputSize(filepath.Join(f.options.Dir, target.id+".log"))
 	p, err := f.start(target.id, "hyssopsill-standin", "target", "--id", target.id, "--service", service, "--node", "http://"+target.node.announce,
 		"--ttl", targetTTL.String(), "--slots", strconv.Itoa(slots), "--listen", target.address, "--control", target.control,
 		"--executions", f.executionsFile())
 	if err != nil {
 		return err
 	}
-	listening, err := p.waitForOutput(ctx, offset, targetListenPattern)
+	listening, err := p.waitForOutput(ctx, targetListenPattern)
 	if err != nil {
 		return err
 	}
@@ -327,6 +325,18 @@
 	return stuck
 }
 
+// ends returns how the processes ended that have ended so far.
+func (f *fleet) ends() (out []ProcessEnd) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.started {
+		if !p.running() {
+			out = append(out, p.end)
+		}
+	}
+	return out
+}
+
 // killAll kills all processes that the soak started and waits for their end.
 func (f *fleet) killAll() {
 	f.mu.Lock()
--- a/soak/history.go
+++ b/soak/history.go
@@ -52,6 +52,7 @@
 	Stuck      []string           `json:"stuck"`   // nodes that did not exit by themselves
 	Unready    string             `json:"unready"` // why the fleet did not recover
 	Notes      []string           `json:"notes"`   // faults that could not be injected
+	Ends       []ProcessEnd       `json:"ends"`
 
 	mu sync.Mutex
 }
--- a/soak/process.go
+++ b/soak/process.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -25,13 +26,18 @@
 // process is a program that the soak started. Its output goes to a file.
 type process struct {
 	name, output string
+	outputStart  int64 // offset of its output in the file
 	cmd          *exec.Cmd
 	done         chan struct{}
+
+	mu  sync.Mutex
+	end ProcessEnd // complete once done is closed
 }
 
 // start starts a program from Options.Binaries and appends its output to a log file.
 func (f *fleet) start(name, program string, args ...string) (*process, error) {
 	p := &process{name: name, output: filepath.Join(f.options.Dir, name+".log"), done: make(chan struct{})}
+	p.outputStart = outputSize(p.output)
 	file, err := os.OpenFile(p.output, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
@@ -42,17 +48,36 @@
 	if err := p.cmd.Start(); err != nil {
 		return nil, err
 	}
+	p.end = ProcessEnd{Process: name, StartedAt: time.Now()}
 	f.mu.Lock()
 	f.started = append(f.started, p)
 	f.mu.Unlock()
-	go func() {
-		_ = p.cmd.Wait() // the exit status is not needed
-		close(p.done)
-	}()
+	go p.recordEnd()
 	return p, nil
 }
 
-func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) } // fails only if the process has ended
+// signal sends a signal and records it, unless the process has ended.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd.Process.Signal(s) != nil {
+		return
+	}
+	p.end.recordSignal(s, time.Now())
+}
+
+// recordEnd waits for the end of the process and records it.
+func (p *process) recordEnd() {
+	_ = p.cmd.Wait() // the state of the process tells how it ended
+	p.mu.Lock()
+	p.end.EndedAt, p.end.Silent = time.Now(), outputSize(p.output) == p.outputStart
+	if status, ok := p.cmd.ProcessState.Sys().(syscall.WaitStatus); ok && status.Signaled() {
+		p.end.Signal = status.Signal().String()
+	}
+	p.end.Status = p.cmd.ProcessState.ExitCode()
+	p.mu.Unlock()
+	close(p.done)
+}
 
 func (p *process) running() bool {
 	select {
@@ -75,15 +100,15 @@
 	}
 }
 
-// waitForOutput waits until the output after offset matches the pattern and returns
+// waitForOutput waits until the output of the process matches the pattern and returns
 // the pattern's first group.
-func (p *process) waitForOutput(ctx context.Context, offset int64, pattern *regexp.Regexp) (string, error) {
+func (p *process) waitForOutput(ctx context.Context, pattern *regexp.Regexp) (string, error) {
 	for end := time.Now().Add(maxWait); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(pollInterval) {
 		data, err := os.ReadFile(p.output)
 		if err != nil {
 			return "", err
 		}
-		if match := pattern.FindSubmatch(data[min(offset, int64(len(data))):]); match != nil {
+		if match := pattern.FindSubmatch(data[min(p.outputStart, int64(len(data))):]); match != nil {
 			return string(match[1]), nil
 		}
 		if !p.running() {
@@ -93,7 +118,7 @@
 	return "", fmt.Errorf("%s has no output that matches %s", p.name, pattern)
 }
 
-// outputSize returns the offset at which the output of a new process will start.
+// outputSize returns the size of an output file.
 func outputSize(name string) int64 {
 	info, err := os.Stat(name)
 	if err != nil {
--- a/soak/report.go
+++ b/soak/report.go
@@ -30,18 +30,22 @@
 	Executions int            `json:"executions"`
 	Views      int            `json:"views"`
 	Stops      int            `json:"stops"`
+	Ends       map[string]int `json:"ends"` // ended processes by exit status or signal
 	Violations []Violation    `json:"violations"`
 	Notes      []string       `json:"notes"`
 	Dir        string         `json:"dir"`
 }
 
 func newReport(o Options, h *History) (Report, error) {
-	r := Report{Seed: o.Seed, Seconds: time.Since(h.StartedAt).Seconds(), Events: map[Kind]int{}, Calls: len(h.Calls), Outcomes: map[string]int{},
+	r := Report{Seed: o.Seed, Seconds: time.Since(h.StartedAt).Seconds(), Events: map[Kind]int{}, Calls: len(h.Calls), Outcomes: map[string]int{}, Ends: map[string]int{},
 		Executions: len(h.Executions), Views: len(h.Views), Stops: len(h.Stops), Violations: Check(h), Notes: h.Notes, Dir: o.Dir}
 	r.OK = len(r.Violations) == 0
 	for _, e := range h.Plan.Events {
 		r.Events[e.Kind]++
 	}
+	for i := range h.Ends {
+		r.Ends[h.Ends[i].cause()]++
+	}
 	for i := range h.Calls {
 		r.Outcomes[outcomeOf(&h.Calls[i])]++
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -65,6 +65,7 @@
 	in := &injector{fleet: f, history: h}
 	err = in.runPlan(ctx)
 	h.Stuck = append(h.Stuck, f.stop(context.WithoutCancel(ctx))...)
+	h.Ends = f.ends()
 	if err = errors.Join(err, h.readExecutions(f.executionsFile())); err != nil {
 		return Report{}, err
 	}
