soak: reload nodes around stops and restarts

Plans have the new kind node-reload, SIGHUP before, at, during and after SIGTERM of a graceful stop, and SIGHUP in the first 0.16 s of a restart, single and in series. A stop with reloads sends its SIGTERM 0.2 s later than before. SIGTERM is sent once to a process, since a second one stops "hyssopsilld run" at once by design.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"hash/fnv"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -138,7 +140,51 @@
 			t.Errorf("seed %d: the poison event is not at the end of the faults", seed)
 		}
 	}
-	if len(seen) != len(kindWeights)+1 {
-		t.Errorf("only %d of %d kinds are drawn", len(seen), len(kindWeights)+1)
+	if len(seen) != len(kindWeights)+2 { // Poison and NodeReload are drawn apart
+		t.Errorf("only %d of %d kinds are drawn", len(seen), len(kindWeights)+2)
+	}
+}
+
+// Guards against reloads that change the other events of a seed, so that the seeds that
+// failed before plans had reloads no longer give the plans that failed.
+func TestReloadsLeaveOtherEvents(t *testing.T) {
+	hash := fnv.New64a()
+	for seed := range uint64(50) {
+		events := slices.DeleteFunc(NewPlan(seed, 4, 6, 10*time.Second).Events, func(e Event) bool { return e.Kind == NodeReload })
+		for i := range events {
+			events[i].Reloads, events[i].StartReloads = nil, nil
+		}
+		_, _ = fmt.Fprint(hash, events) // never fails
+	}
+	if got := hash.Sum64(); got != plansWithoutReloads {
+		t.Errorf("the other events have the hash %#x, want %#x", got, uint64(plansWithoutReloads))
+	}
+}
+
+// plansWithoutReloads is the hash of the plans before reloads were added.
+const plansWithoutReloads = 0xd9ebeba1691ffcac
+
+// Guards against plans without reloads in one of the phases of a graceful stop, at the
+// start of a process or in series.
+func TestReloadPhases(t *testing.T) {
+	seen := map[string]bool{}
+	for seed := range uint64(50) {
+		for _, e := range NewPlan(seed, 4, 6, 10*time.Second).Events {
+			seen["restart"] = seen["restart"] || len(e.StartReloads) > 0
+			seen["single"] = seen["single"] || e.Kind == NodeReload && len(e.Reloads) == 1
+			seen["series"] = seen["series"] || e.Kind == NodeReload && len(e.Reloads) > 1
+			if e.Kind != NodeStop {
+				continue
+			}
+			for _, at := range e.Reloads {
+				seen["before"] = seen["before"] || at < 0
+				seen["at"] = seen["at"] || at == 0
+				seen["notice"] = seen["notice"] || at > 0 && at < drainNotice
+				seen["after notice"] = seen["after notice"] || at > time.Second
+			}
+		}
+	}
+	if len(seen) != 7 || slices.Contains(slices.Collect(maps.Values(seen)), false) {
+		t.Errorf("reloads in these phases: %v", seen)
 	}
 }
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -141,12 +141,12 @@
 		caller: anyPort, data: anyPort, control: anyPort, announce: anyPort, admin: anyPort}
 	n.settingsFile = filepath.Join(f.options.Dir, n.name+".toml")
 	f.nodes = append(f.nodes, n)
-	return f.startNode(ctx, n)
+	return f.startNode(ctx, n, nil)
 }
 
-// startNode starts the process of a node. After a restart it listens on the addresses
-// of the previous process.
-func (f *fleet) startNode(ctx context.Context, n *node) error {
+// startNode starts the process of a node and sends it SIGHUP at the given times after
+// its start. After a restart it listens on the addresses of the previous process.
+func (f *fleet) startNode(ctx context.Context, n *node, reloads []time.Duration) error {
 	var seeds []string
 	for _, other := range f.nodes {
 		if other != n {
@@ -174,6 +174,9 @@
 	if err != nil {
 		return err
 	}
+	var reloading sync.WaitGroup
+	defer reloading.Wait()
+	reloading.Go(func() { sendReloads(ctx, p, time.Now(), reloads) })
 	for key, address := range map[string]*string{"caller": &n.caller, "peer_data": &n.data, "peer_control": &n.control,
 		"announce": &n.announce, "admin": &n.admin} {
 		listenAddress, err := p.waitForOutput(ctx, regexp.MustCompile(`"`+key+`":"([^"]+)"`))
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -88,6 +88,8 @@
 		return in.pause(ctx, f.current(&n.process), e.Duration)
 	case NodeStop, NodeKill:
 		return in.restartNode(ctx, n, e)
+	case NodeReload:
+		return in.reload(ctx, n, e)
 	case TargetPause:
 		return in.pause(ctx, f.current(&target.process), e.Duration)
 	case TargetKill, TargetDrain:
@@ -156,21 +158,40 @@
 	if e.Kind == NodeKill {
 		n.signal(syscall.SIGKILL)
 	} else {
-		stop := Stop{Node: n.name, StartedAt: time.Now()}
-		n.signal(syscall.SIGTERM)
-		defer func() { in.history.withLock(func() { in.history.Stops = append(in.history.Stops, stop) }) }()
-		if err := n.wait(ctx, maxWait); err != nil {
-			in.history.withLock(func() { in.history.Stuck = append(in.history.Stuck, err.Error()) })
-			n.signal(syscall.SIGKILL)
-		}
-		stop.EndedAt = time.Now()
+		in.stopNode(ctx, n, e)
 	}
 	if err := n.wait(ctx, maxWait); err != nil {
 		return err
 	}
 	sleep(ctx, e.Duration)
 	in.history.withLock(func() { in.history.Restarts = append(in.history.Restarts, time.Now()) })
-	return in.fleet.startNode(ctx, n)
+	err := in.fleet.startNode(ctx, n, e.StartReloads)
+	if errors.Is(err, errProcessEnded) { // SIGHUP may end it before it handles signals
+		in.history.notef("%s: %v; it is started again", e, err)
+		return in.fleet.startNode(ctx, n, nil)
+	}
+	return err
+}
+
+// stopNode stops a node with SIGTERM, with the reloads of the event around it.
+func (in *injector) stopNode(ctx context.Context, n *node, e Event) {
+	reloadCtx, stopReloads := context.WithCancel(ctx)
+	var reloading sync.WaitGroup
+	defer reloading.Wait()
+	defer stopReloads()
+	if len(e.Reloads) > 0 {
+		stopAt := time.Now().Add(maxReloadLead)
+		reloading.Go(func() { sendReloads(reloadCtx, n.process, stopAt, e.Reloads) })
+		sleep(ctx, time.Until(stopAt))
+	}
+	stop := Stop{Node: n.name, StartedAt: time.Now()}
+	n.signal(syscall.SIGTERM)
+	if err := n.wait(ctx, maxWait); err != nil {
+		in.history.withLock(func() { in.history.Stuck = append(in.history.Stuck, err.Error()) })
+		n.signal(syscall.SIGKILL)
+	}
+	stop.EndedAt = time.Now()
+	in.history.withLock(func() { in.history.Stops = append(in.history.Stops, stop) })
 }
 
 // restartTarget kills a target and starts it again. For TargetDrain it drains the target
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -21,6 +21,7 @@
 	NodePause    Kind = "node-pause"     // SIGSTOP, SIGCONT
 	NodeStop     Kind = "node-stop"      // SIGTERM and a restart
 	NodeKill     Kind = "node-kill"      // SIGKILL and a restart
+	NodeReload   Kind = "node-reload"    // SIGHUP, once or in series
 	TargetPause  Kind = "target-pause"
 	TargetKill   Kind = "target-kill"
 	TargetDrain  Kind = "target-drain" // it leaves, ends and is restarted
@@ -52,10 +53,22 @@
 	Duration time.Duration `json:"for"`
 	Kind     Kind          `json:"kind"`
 	Subject  int           `json:"subject"` // index of a node or target
+
+	// Times of SIGHUP, relative to the start of NodeReload or the SIGTERM of NodeStop,
+	// and to the restart of the node.
+	Reloads      []time.Duration `json:"reloads,omitempty"`
+	StartReloads []time.Duration `json:"startReloads,omitempty"`
 }
 
 func (e Event) String() string {
-	return fmt.Sprintf("%6.2fs %-14s %d for %s", e.At.Seconds(), e.Kind, e.Subject, e.Duration.Round(time.Millisecond))
+	s := fmt.Sprintf("%6.2fs %-14s %d for %s", e.At.Seconds(), e.Kind, e.Subject, e.Duration.Round(time.Millisecond))
+	if len(e.Reloads) > 0 {
+		s += fmt.Sprintf(", SIGHUP at %v", e.Reloads)
+	}
+	if len(e.StartReloads) > 0 {
+		s += fmt.Sprintf(", SIGHUP %v after the restart", e.StartReloads)
+	}
+	return s
 }
 
 // Plan lists the faults of a run and the size of its fleet.
@@ -98,6 +111,7 @@
 	// Poison comes last, since nodes report crashes to each other and link faults would
 	// prevent that.
 	p.Events = append(p.Events, Event{At: faults, Kind: Poison, Subject: random.IntN(nodes)})
+	p.addReloads(rand.New(rand.NewPCG(seed, 0x5164)))
 	slices.SortStableFunc(p.Events, func(a, b Event) int { return int(a.At - b.At) })
 	return p
 }
