soak: no-cut sees requests that the transport sent again

Cause: the check covered requests in progress at SIGTERM, but net/http sends a replayable request again when its connection closes without a response. If the second send was answered, the cut of the first was not seen.

A call records when it was written again after a complete write. Such a call in progress during a stop violates no-cut, also with a response to the second send.

--- a/soak/check.go
+++ b/soak/check.go
@@ -124,13 +124,20 @@
 	return out
 }
 
+// checkNoCut covers the requests that were in progress at SIGTERM and those written
+// during the drain notice, also when the transport hid a cut by sending again.
 func checkNoCut(h *History) (out []string) {
 	for _, stop := range h.Stops {
 		for i := range h.Calls {
 			c := &h.Calls[i]
-			if c.Node == stop.Node && c.Incomplete != "" && !c.WrittenAt.IsZero() && c.EndedAt.After(stop.StartedAt) &&
-				c.WrittenAt.Before(stop.StartedAt.Add(drainNotice)) && c.WrittenAt.After(stop.StartedAt.Add(-clientTimeout)) {
-				out = append(out, fmt.Sprintf("request for %s to node %s, written %s after SIGTERM, was cut: %s", c.Path, c.Node, c.WrittenAt.Sub(stop.StartedAt), c.Incomplete))
+			if c.Node != stop.Node || c.WrittenAt.IsZero() || !c.WrittenAt.Before(stop.StartedAt.Add(drainNotice)) || !c.WrittenAt.After(stop.StartedAt.Add(-clientTimeout)) {
+				continue
+			}
+			written := fmt.Sprintf("request for %s to node %s, written %s after SIGTERM, ", c.Path, c.Node, c.WrittenAt.Sub(stop.StartedAt))
+			if c.Incomplete != "" && c.EndedAt.After(stop.StartedAt) {
+				out = append(out, written+"was cut: "+c.Incomplete)
+			} else if c.ResentAt.After(stop.StartedAt) && c.ResentAt.Before(stop.EndedAt) {
+				out = append(out, fmt.Sprintf("%swas cut and sent again %s after SIGTERM", written, c.ResentAt.Sub(stop.StartedAt)))
 			}
 		}
 	}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -89,6 +89,9 @@
 		{NoCut, func(h *History) {
 			h.Calls = append(h.Calls, Call{Node: "n1", Path: "/kits", WrittenAt: atSecond(8.5), EndedAt: atSecond(8.6), Incomplete: "EOF"})
 		}},
+		{NoCut, func(h *History) { // the transport sent the request again
+			h.Calls = append(h.Calls, Call{Node: "n1", Path: "/kits", WrittenAt: atSecond(7.9), ResentAt: atSecond(8.2), EndedAt: atSecond(8.3), Status: 200})
+		}},
 		{GracefulStop, func(h *History) { h.Stuck = []string{"n2"} }},
 		{Leaving, func(h *History) { h.Executions = append(h.Executions, execution("t2", "d", 10.1)) }},
 		{Floor, func(h *History) { h.Views[0].Targets[0].Ejected = true }},
--- a/soak/client.go
+++ b/soak/client.go
@@ -34,6 +34,7 @@
 	Path       string            `json:"path"`
 	Work       string            `json:"work,omitempty"` // identity of an order
 	WrittenAt  time.Time         `json:"written,omitzero"`
+	ResentAt   time.Time         `json:"resent,omitzero"` // when the transport wrote it again, after a closed connection
 	EndedAt    time.Time         `json:"ended"`
 	Request    attempt.RequestID `json:"request,omitempty"`
 	Status     int               `json:"status,omitempty"`
@@ -101,10 +102,10 @@
 	if call.Method == http.MethodPost {
 		body = strings.NewReader("order " + call.Path)
 	}
-	written := make(chan time.Time, 4) // the transport may write a request again
+	written := make(chan write, 4) // the transport may write a request again
 	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{WroteRequest: func(w httptrace.WroteRequestInfo) {
 		select {
-		case written <- time.Now():
+		case written <- write{time.Now(), w.Err}:
 		default:
 		}
 	}})
@@ -119,10 +120,7 @@
 		req.Header.Set("X-Work", call.Work)
 	}
 	resp, err := client.Do(req)
-	select {
-	case call.WrittenAt = <-written:
-	default:
-	}
+	call.recordWrites(written)
 	if err != nil {
 		call.Incomplete = err.Error()
 		return call
@@ -139,6 +137,28 @@
 	return call
 }
 
+// write is one attempt of the transport to write a request.
+type write struct {
+	at  time.Time
+	err error
+}
+
+// recordWrites records when the request was first written and when it was written again
+// after a complete write. Such a request was in progress when its connection closed.
+func (c *Call) recordWrites(written <-chan write) {
+	complete := false
+	for len(written) > 0 {
+		w := <-written
+		if c.WrittenAt.IsZero() {
+			c.WrittenAt = w.at
+		}
+		if complete && c.ResentAt.IsZero() {
+			c.ResentAt = w.at
+		}
+		complete = complete || w.err == nil
+	}
+}
+
 var guideBody = target.Pattern(guideBytes)
 
 // checkResponse records the reason of a refusal, or how the response differs from the
