process/gate: a target withdrawn right after a restart of its node gets no more work

Trace: sidecar-qld-d-1 starts again at 16.148 s; at 16.364 s it acknowledges the deregistration of i-2e463cd48e, which it does not know yet; at 18.544 s a late heartbeat of the same process announces that instance, which gets requests.

Cause: the withdrawal of an unknown target left no trace.

An announcement of a process that started before the withdrawal finds the target leaving; a process that starts later under the same name is used.

Evidence: TestLateAnnouncementOfWithdrawnTarget fails without the comparison ("want a leaving target") and passes with it.

--- a/process/gate/targets.go
+++ b/process/gate/targets.go
@@ -98,6 +98,9 @@
 		t.ID, t.Incarnation, t.AnnouncedAt = id, incarnation, now
 		g.targets[id] = t
 	}
+	if a.Incarnation != "" && g.withdrawals.cover(id, incarnation) {
+		a.Leaving = true // it was sent before the withdrawal
+	}
 	previous, wasDown := t.Target, t.down
 	if incarnation.Compare(t.Incarnation) > 0 {
 		changes = append(changes, g.attributeCrash(now, t)...)
@@ -171,11 +174,13 @@
 }
 
 // DrainTarget refuses queued and further work for a target. Running requests finish.
-// It returns false when the target is not announced.
+// It returns false when the target is not announced; a late announcement then finds
+// it leaving.
 func (g *Gate) DrainTarget(now time.Time, id string) (AnnounceStatus, bool) {
 	g.mu.Lock()
 	t := g.targets[id]
 	if t == nil {
+		g.withdrawals.add(now, id)
 		g.mu.Unlock()
 		return AnnounceStatus{}, false
 	}
@@ -221,6 +226,7 @@
 	var expired []string
 	var changes []poison.Change
 	g.mu.Lock()
+	g.withdrawals.expire(now)
 	for id, t := range g.targets {
 		if now.Before(t.expiresAt) {
 			continue
