process/node: a node whose name was taken over drains instead of cutting its requests

What callers saw: all requests of a node end without an answer when a second process starts under its name, such as a replacement that starts while the old one still drains.

Cause: the membership reports a higher incarnation of the own name, and the node ended at once, in a drain too.

Change: the node drains: its gate refuses new work, running requests finish, and then the process exits with the error as before. Incarnations keep the orders of the two processes apart, so that the old one may finish what it runs.

--- a/process/node/drain.go
+++ b/process/node/drain.go
@@ -30,7 +30,7 @@
 func (n *Node) Draining() bool { return n.draining.Load() }
 
 func (n *Node) drain() {
-	defer n.stop(errDrained)
+	defer func() { n.stop(n.endCause()) }()
 	startedAt := n.now()
 	n.record(record.Record{At: startedAt, Node: n.options.Settings.Node, Kind: record.KindDrain,
 		Change: &record.Change{Subject: n.options.Settings.Node, To: "leaving", Why: fmt.Sprintf("drain requested with %d requests at the gate and %d at the entry", n.gate.Running(), n.entry.Active())}})
--- a/process/node/drain_test.go
+++ b/process/node/drain_test.go
@@ -1,11 +1,13 @@
 package node
 
 import (
+	"errors"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/hyssopsill/hyssopsill/process/control"
 	"github.com/hyssopsill/hyssopsill/request/invariant"
 	"github.com/hyssopsill/hyssopsill/standin/logservice"
 )
@@ -97,3 +99,29 @@
 		}
 	})
 }
+
+// Guards against a node that cuts its running requests because another process has
+// taken over its name.
+func TestSupersededNodeCompletesRunningRequests(t *testing.T) {
+	log := logservice.New(logservice.Options{})
+	publishConfig(t, log, strings.Replace(testConfig, "hedge = true", `deadline = "1m"`, 1))
+	node := startTestNode(t, "n1", "d1", log)
+	standinTarget := startTarget(t, node, "t1")
+	startTestNode(t, "n2", "d2", log)
+	eventually(t, "the nodes know each other", func() bool { return len(node.fleet.gossip.View().Members) == 2 })
+	eventually(t, "the target responds", func() bool { status, _, _ := get(node, "/kits"); return status == 200 })
+	received := make(chan string, 1)
+	go func() {
+		_, outcome, body := get(node, "/kits?work_ms=2500&echo=long")
+		received <- outcome + " " + body
+	}()
+	eventually(t, "the long request runs", func() bool { return standinTarget.Counts().Running == 1 })
+	startTestNode(t, "n1", "d1", log)
+	if got := <-received; !strings.HasPrefix(got, "answered ") {
+		t.Errorf("the running request got %q", got)
+	}
+	if err := <-node.done; !errors.Is(err, control.ErrSuperseded) {
+		t.Errorf("the node ended with %v, want %v", err, control.ErrSuperseded)
+	}
+	node.done <- nil // for the cleanup
+}
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -77,6 +77,7 @@
 	supervisor   *suture.Supervisor
 	draining     atomic.Bool
 	drainTimer   drainTimer
+	failure      atomic.Pointer[error] // why the node drains, if nobody asked for it
 }
 
 // New binds the listeners of a node. Serve must be called to run it.
@@ -221,10 +222,19 @@
 
 var errDrained = errors.New("node: drained")
 
-// fail ends the node at once, without a drain: it must not run any further.
+// fail drains the node and makes Serve return err. Running requests finish.
 func (n *Node) fail(err error) {
-	n.log.Error().Msg(err.Error())
-	n.stop(err)
+	n.log.Error().Err(err).Msg("node: cannot continue, draining")
+	n.failure.CompareAndSwap(nil, &err)
+	n.Drain()
+}
+
+// endCause returns why the node ends after its drain.
+func (n *Node) endCause() error {
+	if err := n.failure.Load(); err != nil {
+		return *err
+	}
+	return errDrained
 }
 
 const startPollInterval = 20 * time.Millisecond
@@ -252,7 +262,7 @@
 	return ctx.Err()
 }
 
-// serveGossip runs the membership. It ends the node when another process has
+// serveGossip runs the membership. It drains the node when another process has
 // taken over its name.
 func (n *Node) serveGossip(ctx context.Context) error {
 	err := n.fleet.gossip.Serve(ctx)
