process/entry: responses to requests older than the drain close their connection

What callers could see: a connection that closes when the next request is on its way, after a response that did not announce it.

Cause: the header Connection: close was set when a request arrived, so that requests in progress at the start of the drain kept their connections.

Change: the entry decides again when it writes the header of a response.

Evidence: TestResponseDuringDrainClosesConnection failed before ("200 OK, connection closes: false", also for a refusal) and passes with the race detector.

--- a/process/entry/deliver.go
+++ b/process/entry/deliver.go
@@ -44,6 +44,7 @@
 func (q *request) copyHeader(r *result) {
 	h := q.callerResponse.Header()
 	roundtrip.CopyHeader(h, r.resp.Header)
+	q.entry.closeIfDraining(h) // the drain may have begun after the request
 	profile := &q.entry.options.HTTPProfile
 	h[profile.RequestID] = []string{string(q.record.ID)}
 	if profile.Outcome != "" {
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -170,9 +170,16 @@
 func (e *Entry) Active() int64 { return e.activeRequests.Load() }
 
 // Drain makes each further response close its connection, so that callers
-// connect to other nodes.
+// connect to other nodes. It also affects the requests in progress.
 func (e *Entry) Drain() { e.draining.Store(true) }
 
+// closeIfDraining makes the response with header h close its connection in a drain.
+func (e *Entry) closeIfDraining(h http.Header) {
+	if e.draining.Load() {
+		h["Connection"] = []string{"close"}
+	}
+}
+
 // budget returns the retry budget of a service. The caller holds e.mu.
 func (e *Entry) budget(service string) *retry.Budget {
 	b := e.budgets[service]
@@ -201,9 +208,7 @@
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.activeRequests.Add(1)
 	defer e.activeRequests.Add(-1)
-	if e.draining.Load() {
-		w.Header()["Connection"] = []string{"close"}
-	}
+	e.closeIfDraining(w.Header())
 	q := &request{entry: e, callerResponse: w, callerRequest: r, start: e.now(), routing: e.routing.Load()}
 	q.assignID()
 	defer q.recordEnd()
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -390,6 +390,31 @@
 	}
 }
 
+// Guards against a response to a request that began before the drain and keeps its
+// connection open, so that the caller sends its next request when the node closes it.
+func TestResponseDuringDrainClosesConnection(t *testing.T) {
+	for _, refused := range []bool{false, true} {
+		var e *Entry
+		server := newTestEntry(t, func(w http.ResponseWriter, r *http.Request) {
+			e.Drain()
+			if refused {
+				refuseAttempt(w, r, attempt.ReasonLeaving)
+				return
+			}
+			writeGateResponse(w, r.Header.Get(attempt.HeaderAttempt), "body", "body")
+		}, false, 1)
+		e = server.Config.Handler.(*Entry)
+		resp, err := http.Get(server.URL + "/kits")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if !resp.Close || (resp.StatusCode == http.StatusOK) == refused {
+			t.Errorf("refused %t: %s, connection closes: %t", refused, resp.Status, resp.Close)
+		}
+	}
+}
+
 // refuseAttempt sends the refusal of an attempt as a gate does.
 func refuseAttempt(w http.ResponseWriter, r *http.Request, reason attempt.Reason) {
 	h := w.Header()
--- a/process/entry/request.go
+++ b/process/entry/request.go
@@ -322,6 +322,7 @@
 // refuse ends the request with a problem document.
 func (q *request) refuse(outcome attempt.Outcome, reason attempt.Reason, detail string, retryAfter time.Duration) {
 	q.record.Outcome, q.record.Reason, q.record.Detail = outcome, reason, detail
+	q.entry.closeIfDraining(q.callerResponse.Header())
 	q.record.Status = q.entry.options.HTTPProfile.WriteProblem(q.callerResponse, attempt.NewProblem(q.record.ID, outcome, reason, detail, retryAfter))
 	if reason == attempt.ReasonTooLarge {
 		q.discardBody()
