process/telemetry: a stalled log output no longer keeps the process from ending

What operators could see: a node that has drained, or got its second signal, and does not exit while the reader of its log is stopped. It ends only by SIGKILL.

Cause: Close waited without bound for the write of the buffered lines.

Change: Close waits 1 s at most.

Evidence: TestCloseDoesNotWaitForStalledOutput failed before ("Close still waits after 10s") and passes with the race detector.

--- a/cmd/hyssopsilld/main.go
+++ b/cmd/hyssopsilld/main.go
@@ -132,7 +132,7 @@
 		return err
 	}
 	logWriter := telemetry.NewLogWriter(env.out)
-	defer func() { _ = logWriter.Close() }() // never fails
+	defer func() { _ = logWriter.Close() }() // fails only if the output is stalled
 	logger := logWriter.Logger(s.Node, level)
 	nodeOptions, err := env.options(s, logger)
 	if err != nil {
--- a/process/telemetry/log_writer.go
+++ b/process/telemetry/log_writer.go
@@ -1,8 +1,10 @@
 package telemetry
 
 import (
+	"errors"
 	"io"
 	"sync/atomic"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
@@ -19,6 +21,10 @@
 // the previous line.
 const FieldLinesLost = "lines_lost"
 
+// closeTimeout bounds the wait of Close for a slow output. A stalled one must not keep
+// the process from ending.
+const closeTimeout = time.Second
+
 // LogWriter writes log lines in the background, so that a stalled output never
 // delays a request. When more than maxBufferedLines wait, the oldest are lost and
 // counted, and a later line holds the count.
@@ -27,14 +33,28 @@
 	lost atomic.Int64
 }
 
-// NewLogWriter returns a LogWriter to out. Close writes the buffered lines and leaves
-// out open.
+// NewLogWriter returns a LogWriter to out.
 func NewLogWriter(out io.Writer) *LogWriter {
 	w := &LogWriter{}
 	w.Writer = diode.NewWriter(struct{ io.Writer }{out}, maxBufferedLines, 0, func(n int) { w.lost.Add(int64(n)) })
 	return w
 }
 
+// Close writes the buffered lines and leaves the output open. Lines that the output does
+// not take within closeTimeout are lost.
+func (w *LogWriter) Close() error {
+	closed := make(chan error, 1)
+	go func() { closed <- w.Writer.Close() }()
+	select {
+	case err := <-closed:
+		return err
+	case <-time.After(closeTimeout):
+		return errOutputStalled
+	}
+}
+
+var errOutputStalled = errors.New("telemetry: the log output is stalled, lines are lost")
+
 // Logger returns a logger for one node that writes to w.
 func (w *LogWriter) Logger(node string, level zerolog.Level) zerolog.Logger {
 	zerolog.TimeFieldFormat = lineTimeFormat
--- a/process/telemetry/log_writer_test.go
+++ b/process/telemetry/log_writer_test.go
@@ -54,3 +54,22 @@
 		t.Errorf("%d lines written and %d counted as lost, want %d together", written, lost, lines+1)
 	}
 }
+
+// Guards against a process that cannot end because nobody reads its log.
+func TestCloseDoesNotWaitForStalledOutput(t *testing.T) {
+	output := &stalledWriter{released: make(chan struct{})}
+	defer close(output.released)
+	w := NewLogWriter(output)
+	logger := w.Logger("n1", zerolog.InfoLevel)
+	logger.Info().Msg("test")
+	closed := make(chan error, 1)
+	go func() { closed <- w.Close() }()
+	select {
+	case err := <-closed:
+		if err == nil {
+			t.Error("Close reports no lost lines")
+		}
+	case <-time.After(10 * closeTimeout):
+		t.Errorf("Close still waits after %s", 10*closeTimeout)
+	}
+}
