cmd/hyssopsilld: log why a node cannot start

What operators could see: a process that ends at its start without a line in its log, such as when an address is still in use; the cause was on standard error only, in another format.

Change: serve logs the error before it returns.

Evidence: TestFailedStartIsLogged failed before ("no line on the cause") and passes with the race detector.

--- a/cmd/hyssopsilld/main.go
+++ b/cmd/hyssopsilld/main.go
@@ -140,6 +140,7 @@
 	}
 	n, err := node.New(nodeOptions)
 	if err != nil {
+		logger.Error().Err(err).Msg("node: cannot start")
 		return err
 	}
 	ctx, drain := context.WithCancel(ctx)
--- a/cmd/hyssopsilld/signal_test.go
+++ b/cmd/hyssopsilld/signal_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -111,3 +112,23 @@
 		})
 	}
 }
+
+// Guards against a node that ends at its start without a log line on the cause.
+func TestFailedStartIsLogged(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	file := filepath.Join(t.TempDir(), "n1.toml")
+	writeFile(t, file, strings.Replace(singleNodeSettings(), `caller = "127.0.0.1:0"`, fmt.Sprintf("caller = %q", l.Addr()), 1))
+	n := startProcess(t, "n1", "hyssopsilld", "run", "--settings", file)
+	n.waitExit(t, 10*time.Second)
+	if code := n.cmd.ProcessState.ExitCode(); code != 1 {
+		t.Errorf("the process ended with %s, want exit status 1", n.cmd.ProcessState)
+	}
+	if !regexp.MustCompile(`"level":"error".*address already in use.*node: cannot start`).MatchString(n.out.String()) {
+		t.Errorf("no line on the cause:\n%s", n.out.String())
+	}
+}
