standin/logservice: a restore over the control interface is reported as done

The request that restores the service changed the era while it was served, so the response was 503 although the restore had taken effect. A test or a drill that checks the status took it for failed. The control interface is no longer part of the era check, which is for the store's protocol only.

TestRestoreOverControlInterface failed before (status 503).

--- a/standin/logservice/restore.go
+++ b/standin/logservice/restore.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 )
 
 // eraHeader is the header field of every response that states the service's era.
@@ -52,10 +53,14 @@
 	return s.era
 }
 
-// withEra adds the era to all responses. A request during which the service was
+// withEra adds the era to all responses of the store's protocol. A request during which the service was
 // restored gets status 503, since its data may be of either era.
 func (s *Service) withEra(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/v1/") { // the control interface, which restores the service itself
+			next.ServeHTTP(w, r)
+			return
+		}
 		next.ServeHTTP(&eraWriter{ResponseWriter: w, service: s, era: s.Era()}, r)
 	})
 }
