request/order, process/entry: a restored log binds no customer key again

When the log came back from an older copy, the bindings that it had lost were known only to the nodes that had read them. A node that restarted, or that read on from an offset given out again, bound such a key to another gate, and the order ran twice. A node whose offset was beyond the end never read the stream again, so that all its new customer keys were unavailable.

Bindings now takes the era of each page. In a new era a node keeps its bindings, reads the stream anew and writes again what it lacks. Unknown keys are unavailable until the lost bindings have ended. Records state the era of their writer, so that a proposal of the earlier era that arrives late is no binding. Requests that wait for a lost proposal get their outcome at once. A read that makes no progress ends and waits for the next interval.

--- a/process/entry/bindings.go
+++ b/process/entry/bindings.go
@@ -20,12 +20,16 @@
 	waiters map[order.KeyID][]chan struct{}
 	wakeup  chan struct{} // signals that a request waits for a binding, or a reset
 	unread  int           // proposals not yet read from the log
+	// rewritten is the number of bindings written again, as logged last.
+	rewritten int
 }
 
 const (
 	bindingsIdleInterval = 500 * time.Millisecond // between reads while no proposal is pending
 	bindingsPageRecords  = 500
 	bindingsCallTimeout  = 2 * time.Second
+	// maxBindingsRereads is how often one read starts again at the start of the stream.
+	maxBindingsRereads = 2
 	// Minimum time between batches, and between reads while a proposal is pending:
 	// the greater of minBindingsInterval and bindingsIntervalPerNode times the nodes.
 	minBindingsInterval     = 20 * time.Millisecond
@@ -146,6 +150,10 @@
 	_, err := b.entry.options.LogService.Append(ctx, eventlog.StreamOrders, data)
 	b.mu.Lock()
 	b.state.Appended(b.entry.now(), err == nil)
+	if rewritten := b.state.Rewritten(); rewritten != b.rewritten {
+		b.rewritten = rewritten
+		b.entry.log.Info().Int64("era", b.state.Era()).Int("bindings", rewritten).Msg("entry: order bindings written again")
+	}
 	b.mu.Unlock()
 }
 
@@ -153,27 +161,71 @@
 func (b *bindings) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, bindingsCallTimeout)
 	defer cancel()
+	rereads := 0
 	for {
 		b.mu.Lock()
 		from := b.state.Next()
 		b.mu.Unlock()
 		readAt := b.entry.now()
 		page, err := b.entry.options.LogService.Read(ctx, eventlog.StreamOrders, from, bindingsPageRecords)
-		if errors.Is(err, eventlog.ErrTrimmed) {
+		beyondEnd := errors.Is(err, eventlog.ErrRestored)
+		if err != nil && !beyondEnd && !errors.Is(err, eventlog.ErrTrimmed) {
+			return
+		}
+		if b.observeEra(readAt, page.Era, from, beyondEnd) {
+			if rereads++; rereads > maxBindingsRereads {
+				return
+			}
+			continue
+		}
+		if err != nil {
 			b.mu.Lock()
 			b.state.Trimmed(readAt, page.First)
+			skipped := b.state.Next() > from
 			b.mu.Unlock()
+			if !skipped {
+				return
+			}
 			continue
 		}
-		if err != nil {
-			return
-		}
 		if b.apply(readAt, page) {
 			return
 		}
 	}
 }
 
+// observeEra takes the era of a page before its records are applied. It reports that
+// the log came back from an older copy, so that the stream must be read anew. The
+// proposed keys are then unavailable, which their waiting requests learn at once.
+func (b *bindings) observeEra(now time.Time, era, from int64, beyondEnd bool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	former := b.state.Era()
+	given, restored := b.state.ObserveEra(now, era)
+	if !restored && beyondEnd && from == b.state.Next() { // the log does not state its era
+		given, restored = b.state.Restored(now, era), true
+	}
+	if !restored {
+		return beyondEnd
+	}
+	b.entry.log.Warn().Int64("era", era).Int64("former_era", former).Int64("next_offset", from).Int("bindings", b.state.Len()).
+		Msg("entry: the log was restored from an older copy; its order bindings are written again, and unknown customer keys are unavailable")
+	b.decided(given)
+	return true
+}
+
+// decided lets the requests continue that wait for the given keys. The caller holds
+// b.mu.
+func (b *bindings) decided(keys []order.KeyID) {
+	for _, id := range keys {
+		b.unread = max(0, b.unread-1)
+		for _, waiter := range b.waiters[id] {
+			close(waiter)
+		}
+		delete(b.waiters, id)
+	}
+}
+
 // apply applies the records of a page to the state and reports whether the end of
 // the stream was reached.
 func (b *bindings) apply(readAt time.Time, page eventlog.Page) bool {
@@ -187,16 +239,15 @@
 		if err != nil {
 			b.entry.log.Error().Msgf("entry: %v", err)
 		}
-		for _, id := range decided {
-			b.unread = max(0, b.unread-1)
-			for _, waiter := range b.waiters[id] {
-				close(waiter)
-			}
-			delete(b.waiters, id)
-		}
+		b.decided(decided)
+	}
+	for _, c := range b.state.TakeConflicts() {
+		b.entry.log.Error().Stringer("order_key", c.Key).
+			Msgf("entry: a customer key is bound to %s (%s) and to %s (%s) and is unavailable until both bindings end",
+				c.Known.Node, c.Known.Incarnation, c.Other.Node, c.Other.Incarnation)
 	}
-	if b.state.Next() < page.Next && len(page.Records) > 0 {
-		return false
+	if b.state.Next() < page.Next {
+		return len(page.Records) == 0 // the state was reset since the read
 	}
 	b.state.CaughtUp(readAt)
 	return true
--- a/request/order/bindings.go
+++ b/request/order/bindings.go
@@ -19,6 +19,7 @@
 
 	lastWins    bool // for tests: a later record replaces the first
 	trustAppend bool // for tests: a proposal is bound without reading it back
+	ignoreEra   bool // for tests: a restored log is read on from the same offset
 }
 
 func (opts BindingsOptions) withDefaults() BindingsOptions {
@@ -44,6 +45,14 @@
 type Batch struct {
 	ID    string    `json:"id"` // unique, so that a retried append has no further effect
 	Items []Binding `json:"items"`
+	// Era is the era of the log that the writer read. A record that is read in a later
+	// era proves nothing: it may have been appended after the log was restored, by a
+	// node that did not know of it. Earlier versions do not write it.
+	Era *int64 `json:"era,omitempty"`
+	// Rewritten states that the items were bound in an earlier era.
+	Rewritten bool `json:"rewritten,omitempty"`
+	// Marker, in a record without items, describes how Era began.
+	Marker *EraMarker `json:"marker,omitempty"`
 }
 
 // Binding binds a customer key to the gate incarnation that may run it.
@@ -81,6 +90,7 @@
 	compactOwnersAt int // number of owners at which compactOwners runs
 	ownerIndexes    map[Owner]int32
 
+	eraState
 	queued          []Binding
 	pending         map[KeyID]bool // proposed and not yet read back
 	inFlight        *Batch
@@ -104,7 +114,13 @@
 func (b *Bindings) Next() int64 { return b.nextOffset }
 
 // CaughtUp reports that the caller read the stream to its end.
-func (b *Bindings) CaughtUp(now time.Time) { b.lastRead = now }
+func (b *Bindings) CaughtUp(now time.Time) {
+	b.lastRead = now
+	if !b.eraRead {
+		b.eraRead = true
+		b.prepareRewrite()
+	}
+}
 
 // Trimmed reports that the log no longer keeps records before first. When it
 // keeps records longer than Window, the bindings in the missing records have
@@ -125,6 +141,9 @@
 func (b *Bindings) Lookup(now time.Time, id KeyID, service string) (LookupState, Key) {
 	if current, ok := b.bound[id]; ok {
 		boundAt := time.UnixMilli(current.boundAtMS)
+		if until, conflict := b.conflicts[id]; conflict && now.Before(until) {
+			return Unavailable, Key{}
+		}
 		if now.Before(boundAt.Add(b.opts.Window)) {
 			return Bound, Key{ID: id, Owner: b.owners[current.ownerIndex], Service: service, IssuedAt: boundAt, ExpiresAt: boundAt.Add(b.opts.Window)}
 		}
@@ -132,7 +151,7 @@
 	if b.pending[id] && b.opts.trustAppend {
 		return Bound, Key{ID: id, Owner: b.self, Service: service, IssuedAt: now, ExpiresAt: now.Add(b.opts.Window)}
 	}
-	if now.Before(b.incompleteUntil) || b.lastRead.IsZero() || now.Sub(b.lastRead) > b.opts.StaleAfter {
+	if now.Before(b.incompleteUntil) || !b.recovered(now) || b.lastRead.IsZero() || now.Sub(b.lastRead) > b.opts.StaleAfter {
 		return Unavailable, Key{}
 	}
 	if b.pending[id] {
@@ -165,13 +184,20 @@
 		return nil, false
 	}
 	if b.inFlight == nil {
-		if len(b.queued) == 0 {
+		batch := b.recoveryBatch()
+		if batch == nil && len(b.queued) > 0 {
+			n := min(len(b.queued), b.opts.BatchSize)
+			batch = &Batch{Items: append([]Binding(nil), b.queued[:n]...)}
+			b.queued = b.queued[n:]
+		}
+		if batch == nil {
 			return nil, false
 		}
-		n := min(len(b.queued), b.opts.BatchSize)
 		b.lastBatch++
-		b.inFlight = &Batch{ID: fmt.Sprintf("%s/%s/%d", b.self.Node, b.self.Incarnation, b.lastBatch), Items: append([]Binding(nil), b.queued[:n]...)}
-		b.queued = b.queued[n:]
+		batch.ID = fmt.Sprintf("%s/%s/%d", b.self.Node, b.self.Incarnation, b.lastBatch)
+		era := b.era
+		batch.Era = &era
+		b.inFlight = batch
 	}
 	data, err := json.Marshal(b.inFlight)
 	if err != nil { // a Batch has only fields that always marshal
@@ -212,9 +238,12 @@
 	}
 	// The IDs of applied batches need not be stored: when a batch was appended
 	// twice, its bindings have the same times and do not replace themselves.
+	if !b.valid(batch) {
+		return nil, nil
+	}
 	var decided []KeyID
 	for _, item := range batch.Items {
-		b.applyBinding(item)
+		b.applyBinding(item, batch.Rewritten)
 		if b.pending[item.Key] {
 			delete(b.pending, item.Key)
 			decided = append(decided, item.Key)
@@ -226,12 +255,17 @@
 // applyBinding applies one binding. It compares only times in the records, so
 // that all nodes agree regardless of their clocks: a key can be bound again
 // when the new binding is at least Window younger than the current one.
-func (b *Bindings) applyBinding(item Binding) {
+func (b *Bindings) applyBinding(item Binding, rewritten bool) {
 	if current, ok := b.bound[item.Key]; ok && !b.opts.lastWins {
-		if item.At.UnixMilli() < current.boundAtMS+b.opts.Window.Milliseconds() {
+		window, age := b.opts.Window.Milliseconds(), item.At.UnixMilli()-current.boundAtMS
+		if age < window {
+			if age > -window {
+				b.compare(item, current, rewritten)
+			}
 			return
 		}
 	}
+	delete(b.unconfirmed, item.Key)
 	b.bound[item.Key] = compactBinding{ownerIndex: b.ownerIndex(item.Owner), boundAtMS: item.At.UnixMilli()}
 	// Kept for twice the window: while one node takes a binding as valid by its
 	// own clock, every node must know it.
@@ -245,6 +279,8 @@
 			return true // bound again; the new binding has its own expiry
 		}
 		delete(b.bound, id)
+		delete(b.unconfirmed, id)
+		delete(b.conflicts, id)
 		return true
 	})
 	if len(b.owners) >= b.compactOwnersAt {
