version: follow a log that came back from an older copy and write lost changes again

What operators could see: after the log came back from an older copy, nodes that had applied the lost changes ignored the new records with the same offsets, and other nodes applied them. They never agreed again, and a node that started later had the older configuration.

Cause: versions of the configuration were offsets of the log, which gives them out again after a restore.

On a later era a node keeps its configuration in force, reads the log into a second state, writes the changes again that the log lacks, and moves to the new state once that has or has rejected them all.

--- a/process/control/configuration.go
+++ b/process/control/configuration.go
@@ -111,6 +111,8 @@
 		core.SnapshotRead(now, nil, errTooManyCalls)
 	case distribute.WriteSnapshot:
 		core.SnapshotWritten(now, a.After, errTooManyCalls)
+	case distribute.AppendChange:
+		core.ChangeAppended(now, errTooManyCalls)
 	case distribute.RequestSnapshot:
 		core.SnapshotReceived(now, a.Peer, nil, errTooManyCalls)
 	}
@@ -128,6 +130,9 @@
 	case distribute.WriteSnapshot:
 		_, err := log.Append(ctx, eventlog.StreamSnapshots, a.Data)
 		c.withCore(func(core *distribute.Core) []distribute.Action { return core.SnapshotWritten(time.Now(), a.After, err) })
+	case distribute.AppendChange:
+		_, err := log.Append(ctx, eventlog.StreamConfig, a.Data)
+		c.withCore(func(core *distribute.Core) []distribute.Action { return core.ChangeAppended(time.Now(), err) })
 	case distribute.Push:
 		request := &controlpb.ConfigurationRequest{From: c.options.Distribute.Node, Entries: toEntries(a.Records)}
 		_, _ = client.Configuration(ctx, a.Peer.Address, request) // a peer that misses it requests the records
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -295,7 +295,7 @@
 		})
 	}
 	return control.NewConfiguration(control.ConfigurationOptions{
-		Distribute: distribute.Options{Node: s.Node, Domain: s.Domain, OnConfig: n.setConfig, OnResult: n.logResult},
+		Distribute: distribute.Options{Node: s.Node, Domain: s.Domain, OnConfig: n.setConfig, OnResult: n.logResult, OnEvent: n.logConfigEvent},
 		Log:        n.options.LogService, Client: n.client, Peers: n.fleet.peers, Random: newRand(), Reporter: n.metrics.Invariants,
 	})
 }
@@ -318,6 +318,9 @@
 	}
 }
 
+// logConfigEvent logs that the log came back from an older copy, or is followed again.
+func (n *Node) logConfigEvent(text string) { n.log.Warn().Msg("config: " + text) }
+
 // serveControl serves the control calls of peers. The listener stays open when the
 // supervisor restarts the service.
 func (n *Node) serveControl(ctx context.Context) error {
--- a/version/config/history.go
+++ b/version/config/history.go
@@ -46,21 +46,31 @@
 }
 
 // History returns the last applied changes, oldest first. Their number and the
-// bytes of their values are bounded.
-func (s *State) History() []HistoryEntry { return append([]HistoryEntry(nil), s.history...) }
+// bytes of their values are bounded. Their offsets are versions.
+func (s *State) History() []HistoryEntry {
+	out := append([]HistoryEntry(nil), s.history...)
+	for i := range out {
+		out[i].Offset = s.versionAt(out[i].Offset)
+	}
+	return out
+}
 
 // Rollback returns a change that restores the objects as they were at a version.
 // It fails when the history does not reach back that far.
 func (s *State) Rollback(version int64, changeID, author string) (Change, error) {
-	if version < s.historyFloor {
-		return Change{}, fmt.Errorf("rollback to version %d: history reaches back to version %d", version, s.historyFloor)
+	at := PositionOf(version)
+	if version != 0 && at.Era < s.era {
+		return Change{}, fmt.Errorf("rollback to version %d: it is of era %d of the log, which is in era %d; see the history for its versions", version, at.Era, s.era)
+	}
+	if at.Offset < s.historyFloor {
+		return Change{}, fmt.Errorf("rollback to version %d: history reaches back to version %d", version, s.versionAt(s.historyFloor))
 	}
-	if version >= s.version {
-		return Change{}, fmt.Errorf("rollback to version %d: version in force is %d", version, s.version)
+	if version >= s.Version() {
+		return Change{}, fmt.Errorf("rollback to version %d: version in force is %d", version, s.Version())
 	}
 	before := map[string]string{}
 	var paths []string
-	for i := len(s.history) - 1; i >= 0 && s.history[i].Offset > version; i-- {
+	for i := len(s.history) - 1; i >= 0 && s.history[i].Offset > at.Offset; i-- {
 		for _, o := range s.history[i].Objects {
 			if _, ok := before[o.Object]; !ok {
 				paths = append(paths, o.Object)
--- a/version/config/load.go
+++ b/version/config/load.go
@@ -15,13 +15,14 @@
 )
 
 // ReadSnapshot returns the snapshot that covers the most records among the newest
-// valid ones of the log, nil when there is none.
+// valid ones of the log, nil when there is none. A snapshot of an earlier era is
+// returned as one of the log's era if the log still has the records it covers.
 func ReadSnapshot(ctx context.Context, log eventlog.Log) ([]byte, error) {
 	page, err := log.Read(ctx, eventlog.StreamSnapshots, 1, 1)
 	if err != nil && !errors.Is(err, eventlog.ErrTrimmed) {
 		return nil, err
 	}
-	first, end := page.First, page.Next
+	first, end, era := page.First, page.Next, page.Era
 	for range maxSnapshotReads {
 		if end <= first {
 			break
@@ -35,31 +36,43 @@
 		if err != nil {
 			return nil, err
 		}
-		if best := bestSnapshot(page.Records); best != nil {
-			return best, nil
+		if page.Era != era {
+			return nil, restoredError(era, page.Era)
+		}
+		best, err := bestSnapshot(ctx, log, page.Records, era)
+		if best != nil || err != nil {
+			return best, err
 		}
 		end = from
 	}
 	return nil, nil
 }
 
-func bestSnapshot(records []eventlog.Record) []byte {
+func bestSnapshot(ctx context.Context, log eventlog.Log, records []eventlog.Record, era int64) ([]byte, error) {
 	var best []byte
 	var maxCovered int64 = -1
 	for _, r := range records {
-		if covers, err := SnapshotCovers(r.Data); err == nil && covers > maxCovered {
-			best, maxCovered = r.Data, covers
+		data, err := inEra(ctx, log, r.Data, era)
+		if err != nil {
+			return nil, err
+		}
+		if covers, err := SnapshotCovers(data); data != nil && err == nil && covers > maxCovered {
+			best, maxCovered = data, covers
 		}
 	}
-	return best
+	return best, nil
 }
 
 // Advance applies the records of the log after the state's offset, up to the end
 // of the log at the last read. When they are trimmed it restores a snapshot
-// first. It calls observe, which may be nil, with each result.
+// first. It calls observe, which may be nil, with each result. When the log is in
+// another era than the state, it returns eventlog.ErrRestored.
 func (s *State) Advance(ctx context.Context, log eventlog.Log, observe func(Result)) error {
 	for {
 		page, err := log.Read(ctx, eventlog.StreamConfig, s.offset+1, recordsPerRead)
+		if responded := err == nil || errors.Is(err, eventlog.ErrTrimmed); responded && s.offset > 0 && page.Era != s.era {
+			return restoredError(s.era, page.Era)
+		}
 		if errors.Is(err, eventlog.ErrTrimmed) {
 			if err := s.restoreFromLog(ctx, log); err != nil {
 				return fmt.Errorf("records after offset %d are trimmed: %w", s.offset, err)
@@ -69,7 +82,8 @@
 		if err != nil {
 			return err
 		}
-		for _, r := range page.Records {
+		s.era = page.Era
+		for _, r := range RecordsOf(page) {
 			result := s.Apply(r)
 			if observe != nil && result.Outcome != OutcomeOld {
 				observe(result)
--- a/version/config/snapshot.go
+++ b/version/config/snapshot.go
@@ -22,8 +22,8 @@
 
 // snapshotRecord is one record of the stream config-snapshots.
 type snapshotRecord struct {
-	CoversOffset int64           `json:"covers_offset"`
-	Sum          string          `json:"sum"` // xxhash64 of state, hexadecimal
+	CoversOffset int64           `json:"covers_offset"` // a version, which names the era; offsets of the state are of that era
+	Sum          string          `json:"sum"`           // xxhash64 of state, hexadecimal
 	State        json.RawMessage `json:"state"`
 }
 
@@ -62,7 +62,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode snapshot: %w", err)
 	}
-	data, err := compactJSON(snapshotRecord{CoversOffset: s.offset, Sum: checksum(text), State: text})
+	data, err := compactJSON(snapshotRecord{CoversOffset: s.Offset(), Sum: checksum(text), State: text})
 	if err != nil {
 		return nil, fmt.Errorf("encode snapshot: %w", err)
 	}
@@ -74,8 +74,8 @@
 
 func checksum(state []byte) string { return strconv.FormatUint(xxhash.Sum64(state), 16) }
 
-// SnapshotCovers returns the offset that a snapshot covers, without decoding
-// its state.
+// SnapshotCovers returns the version up to which a snapshot covers the log, without
+// decoding its state.
 func SnapshotCovers(data []byte) (int64, error) {
 	record, err := decodeSnapshot(data)
 	return record.CoversOffset, err
@@ -88,8 +88,11 @@
 	if err != nil {
 		return err
 	}
-	if record.CoversOffset <= s.offset && !s.acceptOlder {
-		return fmt.Errorf("%w: it covers offset %d, the state is at %d", ErrNotNewer, record.CoversOffset, s.offset)
+	if record.CoversOffset <= s.Offset() && !s.acceptOlder {
+		return fmt.Errorf("%w: it covers offset %d, the state is at %d", ErrNotNewer, record.CoversOffset, s.Offset())
+	}
+	if era := PositionOf(record.CoversOffset).Era; s.offset > 0 && era != s.era && !s.acceptOlder {
+		return restoredError(s.era, era)
 	}
 	restored, err := stateFromSnapshot(record)
 	if err != nil {
@@ -98,10 +101,10 @@
 	if restored.version < s.version && !s.acceptOlder {
 		return fmt.Errorf("snapshot has version %d, the state has %d: it is from another log", restored.version, s.version)
 	}
-	restoredVersion := restored.version
-	restored.reporter, restored.acceptOlder, restored.version = s.reporter, s.acceptOlder, s.version
+	before := s.Version()
+	restored.reporter, restored.acceptOlder = s.reporter, s.acceptOlder
 	*s = *restored
-	s.setVersion(restoredVersion)
+	s.checkForward(before)
 	return nil
 }
 
@@ -129,7 +132,8 @@
 		return nil, fmt.Errorf("snapshot state: %w", err)
 	}
 	s := NewState()
-	s.offset, s.version = record.CoversOffset, state.Version
+	covers := PositionOf(record.CoversOffset)
+	s.era, s.offset, s.version = covers.Era, covers.Offset, state.Version
 	s.recentChanges, s.history, s.historyFloor = state.RecentChanges, state.History, state.HistoryFloor
 	if s.version < 0 || s.version > s.offset {
 		return nil, fmt.Errorf("snapshot: version %d is outside the covered offsets 0 to %d", s.version, s.offset)
--- a/version/config/state.go
+++ b/version/config/state.go
@@ -92,6 +92,7 @@
 	// for the test that shows what the check prevents.
 	acceptOlder bool
 
+	era             int64 // of the log; versions and offsets below are offsets of this era
 	offset          int64 // last record processed
 	version         int64 // offset of the last change applied
 	bytes           int   // paths and values of all objects
@@ -113,11 +114,11 @@
 // SetReporter sets the reporter that receives the checks of config-forward.
 func (s *State) SetReporter(r invariant.Reporter) { s.reporter = r }
 
-// Version returns the offset of the last change that was applied, 0 for none.
-func (s *State) Version() int64 { return s.version }
+// Version returns the version of the last change that was applied, 0 for none.
+func (s *State) Version() int64 { return s.versionAt(s.version) }
 
-// Offset returns the offset of the last record processed, 0 for none.
-func (s *State) Offset() int64 { return s.offset }
+// Offset returns the version of the last record processed, 0 for none.
+func (s *State) Offset() int64 { return s.versionAt(s.offset) }
 
 // ObjectVersion returns the base version that the next edit of an object needs.
 func (s *State) ObjectVersion(path string) int64 { return s.objectVersion(path, s.offset+1) }
@@ -143,18 +144,22 @@
 }
 
 // Apply processes the next record and applies its change if it is valid. A record
-// that was delivered before has no effect, nor has one after a gap.
+// that was delivered before has no effect, nor has one after a gap. Its offset is a
+// version, see VersionAt; a record of a later era counts as one after a gap.
 func (s *State) Apply(r eventlog.Record) Result {
-	if r.Offset <= s.offset {
+	at := PositionOf(r.Offset)
+	if s.offset > 0 && at.Era < s.era || at.Era == s.era && at.Offset <= s.offset {
 		return Result{Offset: r.Offset, Outcome: OutcomeOld}
 	}
-	if r.Offset != s.offset+1 {
+	if s.offset > 0 && at.Era != s.era || at.Offset != s.offset+1 {
 		return Result{Offset: r.Offset, Outcome: OutcomeGap}
 	}
-	result := s.decodeAndApply(r)
-	s.offset = r.Offset
+	s.era = at.Era
+	result := s.decodeAndApply(eventlog.Record{Offset: at.Offset, Data: r.Data})
+	result.Offset = r.Offset
+	s.offset = at.Offset
 	if result.ChangeID != "" && result.Outcome != OutcomeDuplicate {
-		s.recentChanges = append(s.recentChanges, recentChange{Offset: r.Offset, ChangeID: result.ChangeID, Outcome: result.Outcome})
+		s.recentChanges = append(s.recentChanges, recentChange{Offset: at.Offset, ChangeID: result.ChangeID, Outcome: result.Outcome})
 	}
 	s.prune()
 	return result
@@ -189,7 +194,7 @@
 func (s *State) LookupChange(changeID string) (Result, bool) {
 	for _, recent := range s.recentChanges {
 		if recent.ChangeID == changeID {
-			return Result{Offset: recent.Offset, Outcome: recent.Outcome, ChangeID: changeID}, true
+			return Result{Offset: s.versionAt(recent.Offset), Outcome: recent.Outcome, ChangeID: changeID}, true
 		}
 	}
 	return Result{}, false
@@ -226,11 +231,16 @@
 }
 
 func (s *State) setVersion(version int64) {
-	if s.reporter != nil {
-		s.reporter.Check(invariant.ConfigForward, version >= s.version, "version %d after %d", version, s.version)
-	}
+	before := s.Version()
 	s.version = version
 	s.cachedConfig = nil
+	s.checkForward(before)
+}
+
+func (s *State) checkForward(before int64) {
+	if s.reporter != nil {
+		s.reporter.Check(invariant.ConfigForward, s.Version() >= before, "version %d after %d", s.Version(), before)
+	}
 }
 
 func (s *State) put(path string, o *object) {
@@ -275,7 +285,7 @@
 	if s.cachedConfig != nil {
 		return s.cachedConfig
 	}
-	c := &Config{Version: s.version, CustomerHeader: DefaultCustomerHeader, Services: map[string]Service{}}
+	c := &Config{Version: s.Version(), CustomerHeader: DefaultCustomerHeader, Services: map[string]Service{}}
 	for _, path := range slices.Sorted(maps.Keys(s.objects)) {
 		switch o := s.objects[path]; {
 		case o.service != nil:
--- a/version/distribute/core.go
+++ b/version/distribute/core.go
@@ -67,26 +67,32 @@
 	// OnResult receives the outcome of each record applied.
 	OnResult func(config.Result)
 
+	// OnEvent receives a sentence when the log came back from an older copy and when
+	// the node follows it again.
+	OnEvent func(string)
+
 	// Each switch turns one mechanism off, for the tests that show which failure
 	// it prevents.
-	noFanOut, noGapFill, noPeerStart, noNewerCheck bool
+	noFanOut, noGapFill, noPeerStart, noNewerCheck, noRewrite bool
 }
 
 // Kind is the kind of an Action.
 type Kind int
 
 const (
-	ReadLog         Kind = iota + 1 // read the stream config, starting at After+1
+	ReadLog         Kind = iota + 1 // read the stream config, starting at offset After+1
 	ReadSnapshot                    // read the newest snapshot of the log
 	Push                            // forward Records to Peer
 	RequestRecords                  // request the records after After from Peer
 	RequestSnapshot                 // request a state newer than After from Peer
 	WriteSnapshot                   // append Data to the stream config-snapshots
+	AppendChange                    // append Data to the stream config
 )
 
 // Action is a call that the I/O layer makes. It passes the result to the method
-// for the kind: LogRead, SnapshotRead, RecordsReceived, SnapshotReceived or
-// SnapshotWritten. It drops the result of a Push.
+// for the kind: LogRead, SnapshotRead, RecordsReceived, SnapshotReceived,
+// SnapshotWritten or ChangeAppended. It drops the result of a Push. Offsets of Records,
+// and After except that of ReadLog, are versions, which name the era.
 type Action struct {
 	Kind    Kind
 	Peer    Peer
@@ -102,17 +108,20 @@
 	random   *rand.Rand
 	reporter invariant.Reporter
 
-	state       *config.State
+	state       *config.State     // in force
+	restored    *restoredLog      // nil while the log has all changes in force
 	peers       []Peer            // sorted by node
 	recent      []eventlog.Record // last records applied, for peers
 	recentBytes int               // of recent
 
 	versionInForce int64
 
+	startedAt         time.Time // first tick
 	nextRead          time.Time
 	readStartedAt     time.Time // zero when no read of the log is in progress
 	logDown           bool      // the last read of the log failed or timed out
 	logReadToEnd      bool      // the log was read to its end
+	ready             bool
 	snapshotNeeded    bool      // the log has trimmed the next record, or the node has just started
 	snapshotReadAt    time.Time // last read of the snapshots of the log
 	nextGapFill       time.Time
@@ -165,8 +174,9 @@
 
 // Ready reports whether the node has the newest version it could reach: that
 // of the log, or while the log is down that of one peer in each failure domain
-// that responded.
-func (c *Core) Ready() bool { return c.logReadToEnd || c.peersFetched }
+// that responded. A node that starts after the log came back from an older copy waits
+// for a few seconds for changes that only peers have.
+func (c *Core) Ready() bool { return c.ready }
 
 // SetPeers replaces the peers with those in the membership view.
 func (c *Core) SetPeers(peers []Peer) {
@@ -207,6 +217,9 @@
 // Tick returns the calls that are due. The I/O layer calls it every 100 ms.
 func (c *Core) Tick(now time.Time) []Action {
 	var out []Action
+	if c.startedAt.IsZero() {
+		c.startedAt = now
+	}
 	if !c.readStartedAt.IsZero() && now.Sub(c.readStartedAt) >= c.options.ResponseTimeout {
 		c.logDown, c.readStartedAt = true, time.Time{}
 	}
@@ -215,7 +228,10 @@
 	}
 	out = c.fetchFromPeers(now, out)
 	out = c.fillGap(now, out)
-	return c.writeSnapshot(now, out)
+	out = c.rewrite(now, out)
+	out = c.writeSnapshot(now, out)
+	c.ready = c.ready || (c.logReadToEnd || c.peersFetched) && !c.peersBehind(now)
+	return out
 }
 
 func (c *Core) startRead(now time.Time, out []Action) []Action {
@@ -224,19 +240,30 @@
 	if c.snapshotNeeded {
 		return append(out, Action{Kind: ReadSnapshot})
 	}
-	return append(out, Action{Kind: ReadLog, After: c.state.Offset()})
+	return append(out, Action{Kind: ReadLog, After: config.PositionOf(c.reading().Offset()).Offset})
 }
 
 func (c *Core) readInterval() time.Duration {
 	if !c.Ready() || c.IsReader() {
 		return c.options.ReadInterval
 	}
+	if c.restored != nil {
+		return restoredReadInterval
+	}
 	return c.options.CheckInterval/2 + time.Duration(c.random.Int64N(int64(c.options.CheckInterval)))
 }
 
 // LogRead processes the result of ReadLog.
 func (c *Core) LogRead(now time.Time, page eventlog.Page, err error) []Action {
 	c.readStartedAt = time.Time{}
+	responded := err == nil || errors.Is(err, eventlog.ErrTrimmed) || errors.Is(err, eventlog.ErrRestored)
+	if responded && c.outdated(page.Era) {
+		return nil
+	}
+	if responded && c.observeEra(now, page.Era) {
+		c.logDown = false
+		return c.startRead(now, nil)
+	}
 	if errors.Is(err, eventlog.ErrTrimmed) {
 		c.logDown, c.snapshotNeeded = false, true
 		if now.Sub(c.snapshotReadAt) < c.options.ReadInterval {
@@ -247,8 +274,12 @@
 	if c.logDown = err != nil; err != nil {
 		return nil
 	}
-	out := c.apply(page.Records, "")
-	if c.state.Offset()+1 >= page.Next {
+	out := c.apply(config.RecordsOf(page), "")
+	if config.PositionOf(c.reading().Offset()).Offset+1 >= page.Next {
+		if c.restored != nil {
+			c.restored.readToEnd = true
+			return c.rewrite(now, out)
+		}
 		c.logReadToEnd = true
 		return out
 	}
@@ -265,18 +296,19 @@
 	if c.logDown = err != nil; err != nil {
 		return nil
 	}
-	offsetBefore := c.state.Offset()
+	offsetBefore := c.reading().Offset()
 	c.snapshotNeeded, c.snapshotReadAt = false, now
+	var out []Action
 	if data != nil {
 		c.observeSnapshot(now, data)
-		c.restore(data)
+		out = c.restore(now, data)
 	}
-	if offsetBefore > 0 && c.state.Offset() == offsetBefore && len(c.peers) > 0 {
+	if offsetBefore > 0 && c.reading().Offset() == offsetBefore && len(c.peers) > 0 {
 		// The snapshot covers none of the trimmed records; a peer's state may.
 		p := c.peers[c.random.IntN(len(c.peers))]
-		return []Action{{Kind: RequestSnapshot, Peer: p, After: offsetBefore}}
+		return append(out, Action{Kind: RequestSnapshot, Peer: p, After: offsetBefore})
 	}
-	return c.startRead(now, nil)
+	return c.startRead(now, out)
 }
 
 func (c *Core) observeSnapshot(now time.Time, data []byte) {
@@ -288,6 +320,9 @@
 // apply applies records and pushes those that were new to peers.
 func (c *Core) apply(records []eventlog.Record, from string) []Action {
 	var applied []eventlog.Record
+	if c.restored != nil && len(records) > 0 && config.PositionOf(records[0].Offset).Era == c.restored.era {
+		return c.applyRestored(records)
+	}
 	for _, r := range records {
 		result := c.state.Apply(r)
 		if result.Outcome == config.OutcomeGap {
@@ -309,7 +344,41 @@
 	return c.push(applied, from)
 }
 
-func (c *Core) restore(data []byte) {
+// applyRestored applies records of a restored log.
+func (c *Core) applyRestored(records []eventlog.Record) []Action {
+	for _, record := range records {
+		switch result := c.restored.state.Apply(record); result.Outcome {
+		case config.OutcomeOld, config.OutcomeGap:
+		default:
+			c.restored.recent = append(c.restored.recent, record)
+		}
+	}
+	if excess := len(c.restored.recent) - maxRecentRecords; excess > 0 {
+		c.restored.recent = c.restored.recent[excess:]
+	}
+	return c.switchState()
+}
+
+// restore replaces the state by a newer snapshot. A snapshot of a later era becomes
+// the state of the restored log first.
+func (c *Core) restore(now time.Time, data []byte) []Action {
+	covers, err := config.SnapshotCovers(data)
+	if err != nil {
+		return nil
+	}
+	era := config.PositionOf(covers).Era
+	c.observeEra(now, era)
+	if c.restored == nil || era != c.restored.era {
+		c.restoreInForce(data)
+		return nil
+	}
+	if c.restored.state.Restore(data) == nil {
+		c.restored.recent = nil
+	}
+	return c.switchState()
+}
+
+func (c *Core) restoreInForce(data []byte) {
 	offsetBefore := c.state.Offset()
 	err := c.state.Restore(data)
 	if errors.Is(err, config.ErrNotNewer) && c.options.noNewerCheck {
@@ -322,21 +391,6 @@
 	}
 }
 
-// activate puts the configuration of the state in force.
-func (c *Core) activate() {
-	version := c.state.Version()
-	if c.reporter != nil {
-		c.reporter.Check(invariant.ConfigForward, version >= c.versionInForce, "node %s: version %d after %d", c.options.Node, version, c.versionInForce)
-	}
-	if version == c.versionInForce {
-		return
-	}
-	c.versionInForce = version
-	if c.options.OnConfig != nil {
-		c.options.OnConfig(c.state.Config())
-	}
-}
-
 func (c *Core) addRecent(r eventlog.Record) {
 	c.recent = append(c.recent, r)
 	c.recentBytes += len(r.Data)
@@ -405,15 +459,16 @@
 
 // SnapshotReceived processes the result of RequestSnapshot; data is nil when the
 // peer has nothing newer.
-func (c *Core) SnapshotReceived(_ time.Time, from Peer, data []byte, err error) []Action {
+func (c *Core) SnapshotReceived(now time.Time, from Peer, data []byte, err error) []Action {
+	var out []Action
 	if err == nil && data != nil {
-		c.restore(data)
+		out = c.restore(now, data)
 	}
 	if fetch := c.domainFetches[from.Domain]; fetch != nil {
 		fetch.requestedAt = time.Time{}
 		fetch.responded = fetch.responded || err == nil
 	}
-	return nil
+	return out
 }
 
 // fetchFromPeers requests a snapshot from one peer per failure domain while the
@@ -485,7 +540,7 @@
 	}
 	offset := c.state.Offset()
 	due := now.Sub(c.snapshotKnownAt) >= c.options.SnapshotInterval || offset-c.snapshotOffset >= c.options.SnapshotChanges
-	if !due || c.writingSnapshot || offset == 0 || !c.Ready() || now.Before(c.nextSnapshotWrite) || !c.isSnapshotWriter() {
+	if !due || c.restored != nil || c.writingSnapshot || offset == 0 || !c.Ready() || now.Before(c.nextSnapshotWrite) || !c.isSnapshotWriter() {
 		return out
 	}
 	data := c.Snapshot(0)
--- a/version/distribute/core_test.go
+++ b/version/distribute/core_test.go
@@ -170,6 +170,9 @@
 		case WriteSnapshot:
 			_, err := s.log.Append(ctx, eventlog.StreamSnapshots, a.Data)
 			s.call(n, s.logDelay, func() []Action { return n.SnapshotWritten(s.now, a.After, err) })
+		case AppendChange:
+			_, err := s.log.Append(ctx, eventlog.StreamConfig, a.Data)
+			s.call(n, s.logDelay, func() []Action { return n.ChangeAppended(s.now, err) })
 		case Push, RequestRecords, RequestSnapshot:
 			s.callPeer(n, a)
 		}
