version/config: publish only when the nodes follow a restored log

What operators could see: after the log came back from an older copy, a change was reported as accepted though the log had lost it, since nodes reported a version of the restored log. A new change could come before an accepted one that the nodes had not written again yet.

Cause: the publisher compared versions without their eras, looked up its change in a state of the earlier era, and appended as soon as it had read the log.

Change: in an era above 0 the publisher waits until no node that responds reports an earlier era, else EarlierEraError names the nodes. If the log is restored after the append, the outcome is unknown (ErrOutcomeUnknown wraps ErrRestored). config publish and rollback wait before they compare the file with the configuration in force.

--- a/cmd/hyssopsill/config.go
+++ b/cmd/hyssopsill/config.go
@@ -190,6 +190,10 @@
 	if err != nil {
 		return err
 	}
+	publisher := config.Publisher{Log: log, Versions: nodes.versions}
+	if err := publisher.AwaitEra(ctx, state); err != nil {
+		return fmt.Errorf("nothing published: %w", err)
+	}
 	id := c.String("change-id")
 	if id == "" {
 		id = uuid.NewString()
@@ -211,5 +215,5 @@
 		})
 	}
 	change.ChangeID, change.Author = id, c.String("author")
-	return a.publishChange(ctx, c, nodes, log, state, change)
+	return a.publishChange(ctx, c, publisher, state, change)
 }
--- a/cmd/hyssopsill/publish.go
+++ b/cmd/hyssopsill/publish.go
@@ -10,7 +10,6 @@
 
 	"github.com/urfave/cli/v3"
 
-	"github.com/hyssopsill/hyssopsill/eventlog"
 	"github.com/hyssopsill/hyssopsill/process/telemetry"
 	"github.com/hyssopsill/hyssopsill/version/config"
 )
@@ -29,10 +28,9 @@
 
 // publishChange appends the change, waits until it is accepted and prints the
 // result.
-func (a *app) publishChange(ctx context.Context, c *cli.Command, nodes *nodeClient, log eventlog.Log, state *config.State,
+func (a *app) publishChange(ctx context.Context, c *cli.Command, publisher config.Publisher, state *config.State,
 	change config.Change) error {
 	id, startVersion := change.ChangeID, state.Version()
-	publisher := config.Publisher{Log: log, Versions: nodes.versions}
 	accepted, err := publisher.Publish(ctx, state, change)
 	out := publishResult{ChangeID: id, Version: accepted.Result.Offset, Accepted: err == nil}
 	var rejected *config.RejectedError
--- a/version/config/publish.go
+++ b/version/config/publish.go
@@ -79,10 +79,61 @@
 // To find out, publish the same change again under the same change id.
 var ErrOutcomeUnknown = errors.New("change may or may not be in the log")
 
+// EarlierEraError reports that nodes have a version of an earlier era than the log,
+// which came back from an older copy. They may have changes in force that the log
+// lacks, and write them again; a new change must not come before those.
+type EarlierEraError struct {
+	Era   int64 // of the log
+	Nodes []NodeVersion
+}
+
+// Error names the eras and the nodes.
+func (e *EarlierEraError) Error() string {
+	nodes := make([]string, len(e.Nodes))
+	for i, n := range e.Nodes {
+		nodes[i] = fmt.Sprintf("%s at version %d of era %d", n.Node, n.Version, PositionOf(n.Version).Era)
+	}
+	return fmt.Sprintf("the log came back from an older copy and is in era %d; not all nodes follow it yet: %s", e.Era, strings.Join(nodes, ", "))
+}
+
+// AwaitEra advances s to the end of the log and waits until no node that responds
+// has a version of an earlier era. Changes that nodes write again are in s then. When
+// ctx ends first, the error is an *EarlierEraError.
+func (p *Publisher) AwaitEra(ctx context.Context, s *State) error {
+	for s.Era() > 0 {
+		err := s.Advance(ctx, p.Log, nil)
+		if errors.Is(err, eventlog.ErrRestored) {
+			return err
+		}
+		var nodes []NodeVersion
+		if err == nil {
+			nodes, err = p.Versions(ctx)
+		}
+		earlier := &EarlierEraError{Era: s.Era()}
+		for _, n := range nodes {
+			if n.Err == nil && n.Version > 0 && PositionOf(n.Version).Era < s.Era() {
+				earlier.Nodes = append(earlier.Nodes, n)
+			}
+		}
+		if err == nil && len(earlier.Nodes) == 0 {
+			// The nodes had written their changes again when they reported the era.
+			return s.Advance(ctx, p.Log, nil)
+		}
+		if !p.wait(ctx) {
+			if len(earlier.Nodes) > 0 {
+				return earlier
+			}
+			return errors.Join(err, ctx.Err())
+		}
+	}
+	return nil
+}
+
 // Publish appends the change, reads it back, applies it to s and waits until it is
 // accepted or ctx ends. A change whose id s already knows needs no edits. The error
 // is a *RejectedError, ErrNotAccepted, ErrOutcomeUnknown, or the reason why nothing
-// was appended.
+// was appended. It wraps eventlog.ErrRestored when the log came back from an older
+// copy meanwhile.
 func (p *Publisher) Publish(ctx context.Context, s *State, c Change) (Acceptance, error) {
 	data, err := c.Encode()
 	if err != nil {
@@ -110,7 +161,7 @@
 // The first append may still arrive later; then the later of the two records is a
 // duplicate without effect.
 func (p *Publisher) appendAndRead(ctx context.Context, s *State, changeID string, data []byte, acceptance *Acceptance) error {
-	appended := false
+	appended, eraAwaited := false, false
 	found := false
 	observe := func(r Result) {
 		if r.ChangeID == changeID && r.Outcome != OutcomeDuplicate {
@@ -122,12 +173,25 @@
 	}
 	for {
 		readErr := s.Advance(ctx, p.Log, observe)
+		if errors.Is(readErr, eventlog.ErrRestored) {
+			if acceptance.Appends == 0 && !found {
+				return fmt.Errorf("nothing appended: %w", readErr)
+			}
+			return fmt.Errorf("%w: %w", ErrOutcomeUnknown, readErr)
+		}
 		if first, ok := s.LookupChange(changeID); ok && !found { // the record was in a restored snapshot
 			acceptance.Result, found = first, true
 		}
 		if found {
 			return nil
 		}
+		if !appended && readErr == nil && s.Era() > 0 && acceptance.Appends == 0 && !eraAwaited {
+			if err := p.AwaitEra(ctx, s); err != nil {
+				return fmt.Errorf("nothing appended: %w", err)
+			}
+			eraAwaited = true
+			continue // the change may be among those that nodes wrote again
+		}
 		if !appended && readErr == nil {
 			if p.appendOnce && acceptance.Appends > 0 {
 				return ErrOutcomeUnknown
@@ -157,6 +221,9 @@
 		nodes, err := p.Versions(ctx)
 		if err == nil {
 			acceptance.Nodes = nodes
+			if era, restored := laterEra(nodes, acceptance.Result.Offset); restored {
+				return fmt.Errorf("%w: %w", ErrOutcomeUnknown, restoredError(PositionOf(acceptance.Result.Offset).Era, era))
+			}
 			if acceptance.Accepted = isAccepted(nodes, acceptance.Result.Offset); acceptance.Accepted {
 				return nil
 			}
@@ -167,6 +234,17 @@
 	}
 }
 
+// laterEra returns an era that a node reports and that is later than that of a
+// version. Such a node follows a log that may lack the version.
+func laterEra(nodes []NodeVersion, version int64) (int64, bool) {
+	for _, n := range nodes {
+		if era := PositionOf(n.Version).Era; n.Err == nil && era > PositionOf(version).Era {
+			return era, true
+		}
+	}
+	return 0, false
+}
+
 // isAccepted reports whether nodes of two failure domains have the version, or
 // all nodes where all are in one domain. Without any node nothing is accepted.
 func isAccepted(nodes []NodeVersion, version int64) bool {
