--- a/process/control/fleet_test.go
+++ b/process/control/fleet_test.go
@@ -167,3 +167,47 @@
 		t.Fatalf("meter: %s", nodes[0].meter.Vars())
 	}
 }
+
+// Guards against nodes that do not write a lost change again over real sockets, or
+// that do not agree, after the log came back from an older copy.
+func TestFleetWritesLostChangesAgain(t *testing.T) {
+	log := logservice.New(logservice.Options{})
+	nodes := []*node{startNode(t, "n0", "d0", nil, log)}
+	for i := range 4 {
+		nodes = append(nodes, startNode(t, fmt.Sprint("n", i+1), fmt.Sprint("d", (i+1)%3), []string{nodes[0].address}, log))
+	}
+	publish := func(header string) {
+		t.Helper()
+		state, err := config.Load(t.Context(), log)
+		if err != nil {
+			t.Fatal(err)
+		}
+		edit := config.Edit{Object: config.ObjectCustomers, BaseVersion: state.ObjectVersion(config.ObjectCustomers), Value: fmt.Sprintf("customer_header = %q", header)}
+		data, err := config.Change{ChangeID: header, Author: "ana", Edits: []config.Edit{edit}}.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := log.Append(t.Context(), eventlog.StreamConfig, data); err != nil {
+			t.Fatal(err)
+		}
+	}
+	allHave := func(header string, era int64) func() bool {
+		return func() bool {
+			for _, n := range nodes {
+				if version, _ := n.Version(); n.Config().CustomerHeader != header || config.PositionOf(version).Era != era {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	publish("X-Kept")
+	waitFor(t, 20*time.Second, "first change is in force", allHave("X-Kept", 0))
+	log.Checkpoint()
+	publish("X-Lost")
+	waitFor(t, 20*time.Second, "second change is in force", allHave("X-Lost", 0))
+	log.Restore()
+	waitFor(t, 20*time.Second, "second change is in force in era 1", allHave("X-Lost", 1))
+	publish("X-New")
+	waitFor(t, 20*time.Second, "third change is in force", allHave("X-New", 1))
+}
