soak: restore the log service from an older copy

The events come from their own random source; the other events of a seed stay as they were (TestReloadsLeaveOtherEvents).

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -143,17 +143,17 @@
 			t.Errorf("seed %d: the poison event is not at the end of the faults", seed)
 		}
 	}
-	if len(seen) != len(kindWeights)+2 { // Poison and NodeReload are drawn apart
-		t.Errorf("only %d of %d kinds are drawn", len(seen), len(kindWeights)+2)
+	if len(seen) != len(kindWeights)+3 { // Poison, NodeReload and StoreRestore are drawn apart
+		t.Errorf("only %d of %d kinds are drawn", len(seen), len(kindWeights)+3)
 	}
 }
 
-// Guards against reloads that change the other events of a seed, so that the seeds that
-// failed before plans had reloads no longer give the plans that failed.
+// Guards against reloads and restores that change the other events of a seed, so that the
+// seeds that failed before plans had them no longer give the plans that failed.
 func TestReloadsLeaveOtherEvents(t *testing.T) {
 	hash := fnv.New64a()
 	for seed := range uint64(50) {
-		events := slices.DeleteFunc(NewPlan(seed, 4, 6, 10*time.Second).Events, func(e Event) bool { return e.Kind == NodeReload })
+		events := slices.DeleteFunc(NewPlan(seed, 4, 6, 10*time.Second).Events, func(e Event) bool { return e.Kind == NodeReload || e.Kind == StoreRestore })
 		for i := range events {
 			events[i].Reloads, events[i].StartReloads = nil, nil
 		}
@@ -164,7 +164,7 @@
 	}
 }
 
-// plansWithoutReloads is the hash of the plans before reloads were added.
+// plansWithoutReloads is the hash of the plans before reloads and restores were added.
 const plansWithoutReloads = 0xd9ebeba1691ffcac
 
 // Guards against plans without reloads in one of the phases of a graceful stop, at the
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -100,6 +100,8 @@
 		return in.enableFaultsFor(ctx, f.logURL, standinFaults[e.Kind], e.Duration)
 	case StorePause:
 		return in.pause(ctx, f.log, e.Duration)
+	case StoreRestore:
+		return in.restoreLog(ctx, e.Duration)
 	case Publish:
 		return f.publish(ctx)
 	}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -32,8 +32,9 @@
 	StoreRefuse  Kind = "store-refuse" // some appends have no effect
 	StoreLose    Kind = "store-lose"   // responses to appends are lost
 	StorePause   Kind = "store-pause"
-	Publish      Kind = "publish" // an operator publishes a configuration
-	Poison       Kind = "poison"  // a request that crashes targets
+	StoreRestore Kind = "store-restore" // it comes back from a copy of an age
+	Publish      Kind = "publish"       // an operator publishes a configuration
+	Poison       Kind = "poison"        // a request that crashes targets
 )
 
 // kindWeights gives the relative frequency of each kind of fault.
@@ -112,6 +113,7 @@
 	// prevent that.
 	p.Events = append(p.Events, Event{At: faults, Kind: Poison, Subject: random.IntN(nodes)})
 	p.addReloads(rand.New(rand.NewPCG(seed, 0x5164)))
+	p.addRestores(rand.New(rand.NewPCG(seed, 0x4e57)))
 	slices.SortStableFunc(p.Events, func(a, b Event) int { return int(a.At - b.At) })
 	return p
 }
