soak: only a start with reloads is repeated

A node that ends during a start without SIGHUP stays down, as before, so that recovery reports it besides requested-end.

--- a/soak/inject.go
+++ b/soak/inject.go
@@ -168,7 +168,7 @@
 	sleep(ctx, e.Duration)
 	in.history.withLock(func() { in.history.Restarts = append(in.history.Restarts, time.Now()) })
 	err := in.fleet.startNode(ctx, n, e.StartReloads)
-	if errors.Is(err, errProcessEnded) { // SIGHUP may end it before it handles signals
+	if errors.Is(err, errProcessEnded) && len(e.StartReloads) > 0 { // SIGHUP may end it before it handles signals
 		in.history.notef("%s: %v; it is started again", e, err)
 		return in.fleet.startNode(ctx, n, nil)
 	}
