request/order: new customer keys are bound again soon after a restore

After a restore all customer keys that a node didn't know were unavailable for 24 h, even when no binding was lost. Callers got unknown with reason order-binding-unavailable for each new key.

A node that read the former era to its end now writes a record when the new era has all its bindings. The record names the node incarnations that membership knew. Once all of them have written it, every binding by which an order may have run is in the stream again, and unknown keys are bound as before. A node that ended meanwhile, or is listed as dead, keeps the earlier rule.

--- a/cmd/hyssopsilld/restore_test.go
+++ b/cmd/hyssopsilld/restore_test.go
@@ -76,3 +76,38 @@
 	}
 	t.Logf("%d of %d orders sent again got their stored response", answered, len(keys))
 }
+
+// Guards against new customer keys that stay unavailable after a restore although all
+// nodes still know their bindings.
+func TestNewOrdersAfterRestoredLog(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3, false)
+	f.publish(testConfig)
+	target := f.addTarget(f.nodes[1], "t1", "shop")
+	f.waitReady("t1")
+	send := func(n *nodeProcess, key string) bool {
+		return n.sendRequest("POST", "/orders?work_ms=5", "one kit", "Idempotency-Key", key, "X-Customer", "c").status == http.StatusOK
+	}
+	eventually(t, 10*time.Second, "an order is answered", func() bool { return send(f.nodes[0], "before") })
+	f.postLog("/v1/checkpoint")
+	if !send(f.nodes[0], "lost") {
+		t.Fatal("order is not answered")
+	}
+	f.postLog("/v1/restore")
+	for i, n := range f.nodes {
+		key := fmt.Sprintf("after-%d", i)
+		eventually(t, 10*time.Second, "a new order is answered at "+n.name, func() bool { return send(n, key) })
+		if !send(n, "lost") || !send(n, "before") {
+			t.Errorf("an earlier order is not answered at %s", n.name)
+		}
+	}
+	restarted := f.nodes[2]
+	restarted.signal(syscall.SIGKILL)
+	f.restart(restarted)
+	eventually(t, 10*time.Second, "a new order is answered at a restarted node", func() bool { return send(restarted, "restarted") })
+	for key, n := range target.counts(t).Executions {
+		if n != 1 {
+			t.Errorf("order %s ran %d times", key, n)
+		}
+	}
+}
--- a/process/entry/bindings.go
+++ b/process/entry/bindings.go
@@ -164,6 +164,7 @@
 	rereads := 0
 	for {
 		b.mu.Lock()
+		b.state.SetMembers(b.entry.fleet.Load().incarnations)
 		from := b.state.Next()
 		b.mu.Unlock()
 		readAt := b.entry.now()
--- a/process/entry/fleet.go
+++ b/process/entry/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/hyssopsill/hyssopsill/connection/selection"
 	"github.com/hyssopsill/hyssopsill/process/gate"
 	"github.com/hyssopsill/hyssopsill/request/class"
+	"github.com/hyssopsill/hyssopsill/request/order"
 	"github.com/hyssopsill/hyssopsill/version/config"
 	"github.com/hyssopsill/hyssopsill/version/membership"
 )
@@ -48,6 +49,9 @@
 	targets    map[string]gateTarget
 	targetKeys []string // keys of targets, in the order of the view
 	entryCount int
+	// incarnations are the nodes that may know bindings of customer keys. One that
+	// others take for dead may still run.
+	incarnations []order.Owner
 }
 
 func newFleet(v membership.View) *fleet {
@@ -55,6 +59,9 @@
 	for i := range v.Members {
 		member := &v.Members[i]
 		f.members[member.Node] = member
+		if member.State != membership.NodeLeft {
+			f.incarnations = append(f.incarnations, order.Owner{Node: member.Node, Incarnation: member.Incarnation})
+		}
 		if member.State == membership.NodeDead || member.State == membership.NodeLeft {
 			continue
 		}
--- a/request/order/bindings.go
+++ b/request/order/bindings.go
@@ -91,6 +91,8 @@
 	ownerIndexes    map[Owner]int32
 
 	eraState
+	currentMembers  []Owner // see SetMembers
+	membersAtRead   []Owner // currentMembers when the stream was last read to its end
 	queued          []Binding
 	pending         map[KeyID]bool // proposed and not yet read back
 	inFlight        *Batch
@@ -115,7 +117,7 @@
 
 // CaughtUp reports that the caller read the stream to its end.
 func (b *Bindings) CaughtUp(now time.Time) {
-	b.lastRead = now
+	b.lastRead, b.membersAtRead = now, b.currentMembers
 	if !b.eraRead {
 		b.eraRead = true
 		b.prepareRewrite()
--- a/request/order/restore.go
+++ b/request/order/restore.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"hash/fnv"
 	"slices"
 	"time"
@@ -10,7 +11,7 @@
 // maxClockDifference is by how much the clocks of two nodes may differ.
 const maxClockDifference = time.Minute
 
-// EraMarker is the first record that a node writes in an era that has none.
+// EraMarker tells about the beginning of an era.
 type EraMarker struct {
 	// Seen is the time at which the writer first read the stream in this era. Bindings
 	// that the log lost by coming back from an older copy were made before.
@@ -18,13 +19,19 @@
 	// Restored states that the log was restored when the era began. Otherwise the era
 	// is the first in which the stream is used.
 	Restored bool `json:"restored,omitempty"`
+	// Done states that Writer read the stream before the log was restored and that the
+	// stream now has all bindings that it knew. Members are the nodes that may have known
+	// others.
+	Done    bool    `json:"done,omitempty"`
+	Writer  *Owner  `json:"writer,omitempty"`
+	Members []Owner `json:"members,omitempty"`
 }
 
 // eraState is the part of Bindings that answers a log that comes back from an older
 // copy. Bindings that it lost are known only to the nodes that read them, and such a
 // key must not be bound again. A node keeps all bindings that it knows and writes
-// them again in the new era. All other keys are unavailable until the lost bindings
-// have ended.
+// them again in the new era. All other keys are unavailable until each node that may know
+// a lost binding has done so, or until the lost bindings have ended.
 type eraState struct {
 	era           int64
 	eraKnown      bool      // a page was read
@@ -41,6 +48,13 @@
 
 	unconfirmed map[KeyID]bool // bound in an earlier era and not yet read in this one
 	toRewrite   []KeyID
+	// knowsFormer states that this node missed no binding of the earlier eras, and members
+	// are the nodes that may know others.
+	knowsFormer bool
+	members     map[Owner]bool
+	wroteDone   bool
+	done        map[Owner]bool      // nodes that wrote their bindings again
+	required    map[Owner]bool      // members of all nodes in done
 	rewritten   int                 // number of bindings written again in this era
 	conflicts   map[KeyID]time.Time // bound to two owners; the end of the later binding
 	found       []Conflict
@@ -75,6 +89,7 @@
 	}
 	if !b.eraKnown {
 		b.era, b.eraKnown, b.eraSeen = era, true, now
+		b.done, b.required = map[Owner]bool{}, map[Owner]bool{}
 	}
 	return nil, false
 }
@@ -87,8 +102,10 @@
 		b.nextOffset = 1
 		return nil
 	}
+	knowsFormer, members := b.formerMembers(now)
 	b.nextOffset, b.lastRead = 1, time.Time{}
-	b.eraState = eraState{era: era, eraKnown: true, eraSeen: now, restored: true, unconfirmed: map[KeyID]bool{}, conflicts: b.conflicts, found: b.found}
+	b.eraState = eraState{knowsFormer: knowsFormer, members: members, done: map[Owner]bool{}, required: map[Owner]bool{},
+		era: era, eraKnown: true, eraSeen: now, restored: true, unconfirmed: map[KeyID]bool{}, conflicts: b.conflicts, found: b.found}
 	for id := range b.bound {
 		b.unconfirmed[id] = true
 	}
@@ -104,7 +121,7 @@
 
 // recovered reports that no binding is lost that has not ended.
 func (b *Bindings) recovered(now time.Time) bool {
-	if !b.mayMissBindings() {
+	if !b.mayMissBindings() || b.allDone() {
 		return true
 	}
 	seen := b.eraSeen
@@ -114,6 +131,40 @@
 	return !now.Before(seen.Add(b.opts.Window + maxClockDifference))
 }
 
+// SetMembers sets the nodes that may read and propose bindings, dead ones included. A
+// node that has left is not one of them once the stream was read after that.
+func (b *Bindings) SetMembers(members []Owner) { b.currentMembers = members }
+
+// formerMembers returns whether this node missed no binding before a restore, and the
+// nodes that may know bindings that it doesn't.
+func (b *Bindings) formerMembers(now time.Time) (bool, map[Owner]bool) {
+	knows := b.eraRead && b.recovered(now) && len(b.currentMembers) > 0
+	members := map[Owner]bool{}
+	if !knows && b.knowsFormer { // restored again before the recovery was complete
+		knows = true
+		for member := range b.members {
+			members[member] = true
+		}
+	}
+	for _, member := range append(slices.Clone(b.currentMembers), b.membersAtRead...) {
+		members[member] = true
+	}
+	return knows, members
+}
+
+// allDone reports that each node that may know a lost binding wrote its bindings again.
+func (b *Bindings) allDone() bool {
+	if len(b.done) == 0 {
+		return false
+	}
+	for member := range b.required {
+		if !b.done[member] {
+			return false
+		}
+	}
+	return true
+}
+
 // mayMissBindings reports that the log was restored to this era. A node that started
 // later sees it by the records of others.
 func (b *Bindings) mayMissBindings() bool {
@@ -135,6 +186,12 @@
 		if marker.Restored && (b.restoredSeen.IsZero() || marker.Seen.Before(b.restoredSeen)) {
 			b.restoredSeen = marker.Seen
 		}
+		if marker.Done && marker.Writer != nil {
+			b.done[*marker.Writer] = true
+			for _, member := range marker.Members {
+				b.required[member] = true
+			}
+		}
 	}
 	return true
 }
@@ -192,10 +249,26 @@
 		}
 	}
 	b.rewritten += len(batch.Items)
-	if len(batch.Items) == 0 {
-		return nil
+	if len(batch.Items) > 0 {
+		return batch
+	}
+	if b.restored && b.knowsFormer && len(b.unconfirmed) == 0 && !b.wroteDone {
+		b.wroteDone = true
+		return b.doneBatch()
+	}
+	return nil
+}
+
+func (b *Bindings) doneBatch() *Batch {
+	self := b.self
+	marker := &EraMarker{Seen: b.eraSeen.UTC(), Restored: true, Done: true, Writer: &self}
+	for member := range b.members {
+		marker.Members = append(marker.Members, member)
 	}
-	return batch
+	slices.SortFunc(marker.Members, func(x, y Owner) int {
+		return cmp.Or(cmp.Compare(x.Node, y.Node), x.Incarnation.Compare(y.Incarnation))
+	})
+	return &Batch{Marker: marker}
 }
 
 func compareKeyIDs(x, y KeyID) int { return bytes.Compare(x[:], y[:]) }
--- a/request/order/restore_test.go
+++ b/request/order/restore_test.go
@@ -53,6 +53,7 @@
 // restoreSimulation is a fleet of Bindings over a log that is restored at random.
 type restoreSimulation struct {
 	opts       BindingsOptions
+	membership bool // the nodes know each other
 	now        time.Time
 	random     *rand.Rand
 	log        restorableLog
@@ -67,8 +68,8 @@
 
 const restoreNodes, restoreKeys = 3, 6
 
-func newRestoreSimulation(opts BindingsOptions, seed uint64) *restoreSimulation {
-	s := &restoreSimulation{opts: opts, now: epoch, random: rand.New(rand.NewPCG(seed, 1)), observed: map[KeyID][]observedBinding{},
+func newRestoreSimulation(opts BindingsOptions, membership bool, seed uint64) *restoreSimulation {
+	s := &restoreSimulation{opts: opts, membership: membership, now: epoch, random: rand.New(rand.NewPCG(seed, 1)), observed: map[KeyID][]observedBinding{},
 		nodes: make([]*Bindings, restoreNodes), pages: make([]*eventlog.Page, restoreNodes)}
 	for i := range s.nodes {
 		s.restart(i)
@@ -112,6 +113,7 @@
 
 func (s *restoreSimulation) applyPage(i int, page eventlog.Page) bool {
 	b := s.nodes[i]
+	s.setMembers(i)
 	if _, restored := b.ObserveEra(s.now, page.Era); restored {
 		return false
 	}
@@ -127,6 +129,19 @@
 	return true
 }
 
+func (s *restoreSimulation) setMembers(i int) {
+	if !s.membership {
+		return
+	}
+	var members []Owner
+	for _, b := range s.nodes {
+		if b != nil {
+			members = append(members, b.self)
+		}
+	}
+	s.nodes[i].SetMembers(members)
+}
+
 func (s *restoreSimulation) key(n int) KeyID { return testKey(n, epoch).ID }
 
 func (s *restoreSimulation) step() {
@@ -228,12 +243,12 @@
 	}
 }
 
-func runRestoreSimulation(opts BindingsOptions, seed uint64) []string {
-	s := newRestoreSimulation(opts, seed)
+func runRestoreSimulation(opts BindingsOptions, membership bool, seed uint64) *restoreSimulation {
+	s := newRestoreSimulation(opts, membership, seed)
 	for range 600 {
 		s.step()
 	}
-	return s.violations
+	return s
 }
 
 // Guards against a customer key that two nodes bind to two gates, and whose order runs
@@ -241,17 +256,28 @@
 // late and duplicate appends, half-read streams, restarts and pauses.
 func TestRestoredLogBindsNoKeyTwice(t *testing.T) {
 	const seeds = 300
-	failed, failedWithoutEra := 0, 0
+	failed, failedWithoutEra, recoveries := 0, 0, 0
 	for seed := range uint64(seeds) {
-		if violations := runRestoreSimulation(BindingsOptions{}, seed); len(violations) > 0 {
-			failed++
-			t.Errorf("seed %d: %s", seed, violations[0])
+		for _, membership := range []bool{false, true} {
+			s := runRestoreSimulation(BindingsOptions{}, membership, seed)
+			if len(s.violations) > 0 {
+				failed++
+				t.Errorf("seed %d, membership %t: %s", seed, membership, s.violations[0])
+			}
+			for _, b := range s.nodes {
+				if b.restored && b.allDone() {
+					recoveries++
+				}
+			}
 		}
-		if len(runRestoreSimulation(BindingsOptions{ignoreEra: true}, seed)) > 0 {
+		if len(runRestoreSimulation(BindingsOptions{ignoreEra: true}, false, seed).violations) > 0 {
 			failedWithoutEra++
 		}
 	}
-	t.Logf("histories that bind a key twice: %d of %d, %d with ignoreEra", failed, seeds, failedWithoutEra)
+	t.Logf("histories that bind a key twice: %d of %d, %d with ignoreEra; %d nodes at the end of a complete recovery", failed, 2*seeds, failedWithoutEra, recoveries)
+	if recoveries == 0 {
+		t.Error("no history completes a recovery")
+	}
 	if failedWithoutEra == 0 {
 		t.Error("no history detects that the era is ignored")
 	}
@@ -273,7 +299,7 @@
 // restored, on a log of any era, and after the lost bindings have ended.
 func TestBindingsWithoutLostRecords(t *testing.T) {
 	for _, era := range []int64{0, 1, 7} {
-		s := newRestoreSimulation(BindingsOptions{}, 1)
+		s := newRestoreSimulation(BindingsOptions{}, false, 1)
 		s.log = restorableLog{era: era}
 		for i := range s.nodes {
 			s.restart(i)
@@ -302,7 +328,7 @@
 // unknown although another node still knows it, and against nodes that all write the
 // same bindings again.
 func TestLostBindingsAreWrittenAgain(t *testing.T) {
-	s := newRestoreSimulation(BindingsOptions{BatchSize: 2}, 1)
+	s := newRestoreSimulation(BindingsOptions{BatchSize: 2}, false, 1)
 	for n := range restoreKeys {
 		s.bind(n%restoreNodes, n)
 	}
@@ -334,7 +360,7 @@
 // Guards against a proposal of the earlier era that is appended after the restore and
 // takes effect, although the log may have lost a binding of its key.
 func TestLateProposalOfEarlierEra(t *testing.T) {
-	s := newRestoreSimulation(BindingsOptions{}, 1)
+	s := newRestoreSimulation(BindingsOptions{}, false, 1)
 	s.nodes[1].Propose(s.now, s.key(0), Owner{Node: "g1"})
 	late, _ := s.nodes[1].NextBatch(s.now)
 	if s.bind(0, 0) != Bound {
@@ -359,7 +385,7 @@
 // Guards against an order that runs at two gates because each of two nodes keeps its
 // own binding of the key.
 func TestConflictingBindings(t *testing.T) {
-	s := newRestoreSimulation(BindingsOptions{}, 1)
+	s := newRestoreSimulation(BindingsOptions{}, false, 1)
 	s.bind(0, 0)
 	s.log.restore()
 	s.log.records = append(s.log.records, bindingRecord(1, "x", s.now, Owner{Node: "g9"}, s.key(0)).Data)
@@ -380,7 +406,7 @@
 // Guards against a node that stays behind a log which does not state its era, when its
 // offset is beyond the end.
 func TestRestoredLogWithoutEra(t *testing.T) {
-	s := newRestoreSimulation(BindingsOptions{}, 1)
+	s := newRestoreSimulation(BindingsOptions{}, false, 1)
 	s.log.noHeader = true
 	s.bind(0, 0)
 	s.log.restore()
@@ -397,3 +423,36 @@
 		t.Errorf("binding written again: state %d, owner %v", state, key.Owner)
 	}
 }
+
+// Guards against new customer keys that stay unavailable although all nodes that may
+// know lost bindings wrote them again, or that are bound while one of them has not.
+func TestRecoveryOfRestoredLog(t *testing.T) {
+	for _, lostNode := range []bool{false, true} {
+		s := newRestoreSimulation(BindingsOptions{}, true, 1)
+		s.bind(0, 0)
+		s.log.restore()
+		if lostNode {
+			s.restart(2)
+		}
+		want := Bound
+		for i := range s.nodes {
+			s.settle(i)
+			if state := s.bind(i, 1); i < 2 && state != Unavailable {
+				t.Errorf("lost node %t: state %d before node 2 wrote its bindings again, want unavailable", lostNode, state)
+			}
+		}
+		if lostNode {
+			want = Unavailable
+		}
+		if state := s.bind(0, 2); state != want {
+			t.Errorf("lost node %t: state %d at a node that knew the earlier era, want %d", lostNode, state, want)
+		}
+		s.restart(1)
+		if state := s.bind(1, 3); state != want {
+			t.Errorf("lost node %t: state %d at a node that started later, want %d", lostNode, state, want)
+		}
+		if state, key := s.nodes[1].Lookup(s.now, s.key(0), "s"); state != Bound || key.Owner.Node != "g0" {
+			t.Errorf("lost node %t: known key: state %d, owner %v, want g0", lostNode, state, key.Owner)
+		}
+	}
+}
