process/node: a shutdown keeps requests that have arrived and ends those that never come

What callers could see: a request whose bytes had arrived when the listener closed got no response; a running request that came in one segment with the one before was cancelled. What operators could see: a drain that waits for a connection with a stray line end.

Cause: a read deadline in the past makes a read fail before it looks at the socket. A connection counted as active from the first byte and as idle until the next read, so that a request from the buffer of the server counted as idle, and a header that stays incomplete as active.

Change: after the deadline one more read looks at the socket; a connection is in a request from http.StateActive on; an incomplete header ends after 1 s.

--- a/process/node/listen.go
+++ b/process/node/listen.go
@@ -7,6 +7,7 @@
 	"log"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -93,7 +94,7 @@
 		<-l.slots
 		return nil, err
 	}
-	return &limitedConn{Conn: conn, release: func() { <-l.slots }, acceptedAt: time.Now()}, nil
+	return &limitedConn{Conn: conn, release: func() { <-l.slots }, headerSince: time.Now()}, nil
 }
 
 // acceptRetrying accepts a connection. It fails only when the listener is closed.
@@ -127,24 +128,26 @@
 	return l.Listener.Close()
 }
 
+// limitedConn is a connection of an HTTP server. It knows whether a request is on its
+// way or runs, so that a shutdown ends only reads that wait for a further request.
 type limitedConn struct {
 	net.Conn
 	releaseOnce sync.Once
 	release     func()
 
-	mu         sync.Mutex
-	phase      connPhase
-	acceptedAt time.Time
-	endsIdle   bool // reads fail until one has returned a byte
+	mu           sync.Mutex
+	phase        connPhase
+	headerSince  time.Time // in phaseHeader: when it began
+	readsExpired bool      // reads fail until one has returned a byte
 }
 
 // connPhase is what a connection of an HTTP server does.
 type connPhase int
 
 const (
-	phaseNew    connPhase = iota // no byte was read yet
-	phaseActive                  // a request was read in part, or runs
-	phaseIdle                    // no byte was read since the last response
+	phaseHeader  connPhase = iota // it was accepted, or a header was read in part
+	phaseRequest                  // a request runs
+	phaseIdle                     // no byte was read since the last response
 )
 
 func (c *limitedConn) Close() error {
@@ -154,23 +157,46 @@
 
 func (c *limitedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.expired() {
+		// A deadline in the past hides bytes that have arrived already.
+		_ = c.Conn.SetReadDeadline(time.Now().Add(time.Millisecond)) // fails only if the connection is closed
+		n, err = c.Conn.Read(p)
+	}
 	if n > 0 {
-		c.mu.Lock()
-		c.phase = phaseActive
-		if c.endsIdle { // the byte was read before endIdle took effect
-			c.endsIdle = false
-			_ = c.Conn.SetReadDeadline(time.Time{}) // the server sets the one of the request
-		}
-		c.mu.Unlock()
+		c.noteBytes(time.Now())
 	}
 	return n, err
 }
 
-// SetReadDeadline has no effect after endIdle.
+// noteBytes notes that bytes were read.
+func (c *limitedConn) noteBytes(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseIdle {
+		c.phase, c.headerSince = phaseHeader, now
+	}
+	c.allowReads()
+}
+
+// allowReads takes back expireReads. The caller holds c.mu.
+func (c *limitedConn) allowReads() {
+	if c.readsExpired {
+		c.readsExpired = false
+		_ = c.Conn.SetReadDeadline(time.Time{}) // fails only if the connection is closed
+	}
+}
+
+func (c *limitedConn) expired() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.readsExpired
+}
+
+// SetReadDeadline has no effect while reads are expired.
 func (c *limitedConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.endsIdle {
+	if c.readsExpired {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -182,17 +208,27 @@
 	c.phase = phaseIdle
 }
 
-// newConnectionWait is how long a new connection may stay without a byte once its
-// server shuts down. Callers send a request within milliseconds.
-const newConnectionWait = time.Second
+// setRequest notes that the header of a request is complete. The request may have come
+// with the one before, so that no byte was read for it.
+func (c *limitedConn) setRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase = phaseRequest
+	c.allowReads()
+}
+
+// headerWait is how long a new connection may stay without a request, or a header
+// incomplete, once the server shuts down. Callers send a header within milliseconds.
+const headerWait = time.Second
 
-// endIdle makes the server close the connection if no request was read in part.
-func (c *limitedConn) endIdle(now time.Time) {
+// expireReads makes the server close the connection unless a request runs or is on its
+// way.
+func (c *limitedConn) expireReads(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	waits := c.phase == phaseIdle || (c.phase == phaseNew && now.Sub(c.acceptedAt) > newConnectionWait)
-	if waits && !c.endsIdle {
-		c.endsIdle = true
+	waits := c.phase == phaseIdle || (c.phase == phaseHeader && now.Sub(c.headerSince) > headerWait)
+	if waits && !c.readsExpired {
+		c.readsExpired = true
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection is closed
 	}
 }
@@ -211,7 +247,7 @@
 func newHTTPService(name string, l *limitedListener, h http.Handler, limits settings.Limits, logger zerolog.Logger) *httpService {
 	s := &httpService{name: name, listener: l, connections: map[*limitedConn]struct{}{}}
 	s.server = &http.Server{
-		Handler:           s.closeAfter(h),
+		Handler:           s.closeDuringShutdown(h),
 		MaxHeaderBytes:    limits.HeaderBytes,
 		ReadHeaderTimeout: limits.ReadHeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
@@ -221,8 +257,8 @@
 	return s
 }
 
-// closeAfter makes responses close their connection during a shutdown.
-func (s *httpService) closeAfter(h http.Handler) http.Handler {
+// closeDuringShutdown makes responses close their connection during a shutdown.
+func (s *httpService) closeDuringShutdown(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.closing.Load() {
 			w.Header()["Connection"] = []string{"close"}
@@ -242,10 +278,12 @@
 	switch state {
 	case http.StateNew:
 		s.connections[c] = struct{}{}
+	case http.StateActive:
+		c.setRequest()
 	case http.StateIdle:
 		c.setIdle()
 		if s.closing.Load() {
-			c.endIdle(time.Now())
+			c.expireReads(time.Now())
 		}
 	case http.StateClosed, http.StateHijacked:
 		delete(s.connections, c)
@@ -264,7 +302,7 @@
 	s.closing.Store(true)
 	_ = s.listener.Close()
 	for poll := minShutdownPoll; ; poll = min(2*poll, maxShutdownPoll) {
-		s.endIdleConnections()
+		s.expireIdleReads()
 		if s.listener.open() == 0 {
 			return nil
 		}
@@ -276,12 +314,12 @@
 	}
 }
 
-func (s *httpService) endIdleConnections() {
+func (s *httpService) expireIdleReads() {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.connections {
-		c.endIdle(now)
+		c.expireReads(now)
 	}
 }
 
