version: write a lost change again after its first record was rejected

What operators could see: when the log came back from an older copy twice within moments, a change that was in force on all nodes could be gone, or a new node could have another configuration than the rest.

Cause: a change written again for one era may land in the next, where its base versions do not match. It was rejected there, and the nodes took its id for proof that the log had dealt with it.

Change: a change counts as dealt with only if it was applied or an object of it was written by another change since; else it is written under a further id, at most four times. A node writes only after a read that followed its last write and that succeeded.

Evidence: TestConfigurationOnlyMovesForwardAcrossRestores now has delays of the log and restores in close succession.

--- a/version/config/era.go
+++ b/version/config/era.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
+	"strings"
 
 	"github.com/hyssopsill/hyssopsill/eventlog"
 )
@@ -44,41 +46,88 @@
 	return VersionAt(eventlog.Position{Era: s.era, Offset: offset})
 }
 
+// A change that is written again and lands in a later era than the one for which it
+// was made may be rejected there. It is then written under a further id.
+const (
+	rewriteSeparator = "~rewritten-"
+	maxRewrites      = 4 // records of one change; a change that is invalid stays rejected
+)
+
+// originalID returns the id under which a change was published first.
+func originalID(changeID string) string {
+	id, _, _ := strings.Cut(changeID, rewriteSeparator)
+	return id
+}
+
 // Lost returns the ids of the changes that s has applied and that are missing in
 // other, the state of a log that came back from an older copy. The oldest is first.
+// A change with an object that another one has written in other since is not lost but
+// overridden.
 func (s *State) Lost(other *State) []string {
-	kept := map[string]bool{}
+	applied, records := map[string]bool{}, map[string]int{}
 	for _, recent := range other.recentChanges {
-		kept[recent.ChangeID] = true
+		id := originalID(recent.ChangeID)
+		records[id]++
+		applied[id] = applied[id] || recent.Outcome == OutcomeApplied
 	}
 	var out []string
 	for _, recent := range s.recentChanges {
+		id := originalID(recent.ChangeID)
 		forgotten := recent.Offset <= other.offset-dedupWindow // other may have had it
-		if recent.Outcome == OutcomeApplied && !kept[recent.ChangeID] && !forgotten {
-			out = append(out, recent.ChangeID)
+		if recent.Outcome != OutcomeApplied || forgotten || applied[id] || records[id] >= maxRewrites || s.overridden(recent, other) {
+			continue
 		}
+		out = append(out, recent.ChangeID)
 	}
 	return out
 }
 
+// overridden reports whether an object of a change was last written in other by a
+// change that s does not have, or has after it.
+func (s *State) overridden(change recentChange, other *State) bool {
+	for _, entry := range s.history {
+		if entry.Offset != change.Offset {
+			continue
+		}
+		for _, o := range entry.Objects {
+			writer := other.changeAt(other.ObjectVersion(o.Object))
+			if writer == "" {
+				continue
+			}
+			if at, ok := s.appliedAt(writer); !ok || at > change.Offset {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// appliedAt returns the offset at which s applied a change under any of its ids.
+func (s *State) appliedAt(changeID string) (int64, bool) {
+	for _, recent := range s.recentChanges {
+		if recent.Outcome == OutcomeApplied && originalID(recent.ChangeID) == originalID(changeID) {
+			return recent.Offset, true
+		}
+	}
+	return 0, false
+}
+
 // Rewrite returns the change of s with the given id, based on the versions of
-// other. An object that a change unknown to s has written in other gets a base
-// version that conflicts: what was written after the restore wins. The result is
-// false when the history of s no longer has the change.
+// other. The result is false when the history of s no longer has the change.
 func (s *State) Rewrite(changeID string, other *State) (Change, bool) {
 	for i, entry := range s.history {
 		if entry.ChangeID != changeID {
 			continue
 		}
-		c := Change{ChangeID: changeID, Author: entry.Author}
-		for _, o := range entry.Objects {
-			edit := Edit{Object: o.Object, BaseVersion: other.ObjectVersion(o.Object), Value: s.valueAfter(i, o.Object)}
-			if writer := other.changeAt(edit.BaseVersion); writer != "" {
-				if first, ok := s.LookupChange(writer); !ok || first.Outcome != OutcomeApplied {
-					edit.BaseVersion = 0
-				}
+		c := Change{ChangeID: originalID(changeID), Author: entry.Author}
+		for n := 2; ; n++ {
+			if _, used := other.LookupChange(c.ChangeID); !used {
+				break
 			}
-			c.Edits = append(c.Edits, edit)
+			c.ChangeID = originalID(changeID) + rewriteSeparator + strconv.Itoa(n)
+		}
+		for _, o := range entry.Objects {
+			c.Edits = append(c.Edits, Edit{Object: o.Object, BaseVersion: other.ObjectVersion(o.Object), Value: s.valueAfter(i, o.Object)})
 		}
 		return c, true
 	}
@@ -146,10 +195,8 @@
 		}
 		for _, r := range page.Records {
 			from = r.Offset + 1
-			if id := state.changeAt(r.Offset); r.Offset <= covers.Offset && id != "" {
-				if c, _ := DecodeChange("", r.Data); c.ChangeID != id {
-					return nil, nil
-				}
+			if r.Offset <= covers.Offset && !state.matches(r) {
+				return nil, nil
 			}
 		}
 	}
@@ -157,6 +204,35 @@
 	return compactJSON(record)
 }
 
+// matches reports whether s has the change of a record at its offset, with the base
+// versions that s knows. The same change may have been written again at its earlier
+// offset with other base versions, and been rejected.
+func (s *State) matches(r eventlog.Record) bool {
+	c, findings := DecodeChange("", r.Data)
+	id := s.changeAt(r.Offset)
+	if id == "" { // malformed or a duplicate
+		first, known := s.LookupChange(c.ChangeID)
+		return len(findings) > 0 || known && PositionOf(first.Offset).Offset < r.Offset
+	}
+	if c.ChangeID != id {
+		return false
+	}
+	versions := map[string]int64{}
+	for _, entry := range s.history {
+		if entry.Offset == r.Offset {
+			for _, edit := range c.Edits {
+				if version, ok := versions[edit.Object]; ok && version != edit.BaseVersion {
+					return false
+				}
+			}
+		}
+		for _, o := range entry.Objects {
+			versions[o.Object] = entry.Offset
+		}
+	}
+	return true
+}
+
 func restoredError(before, now int64) error {
 	return fmt.Errorf("%w: era %d, was %d", eventlog.ErrRestored, now, before)
 }
--- a/version/distribute/core.go
+++ b/version/distribute/core.go
@@ -272,6 +272,9 @@
 		return c.startRead(now, nil)
 	}
 	if c.logDown = err != nil; err != nil {
+		if c.restored != nil {
+			c.restored.readToEnd = false
+		}
 		return nil
 	}
 	out := c.apply(config.RecordsOf(page), "")
--- a/version/distribute/restore_test.go
+++ b/version/distribute/restore_test.go
@@ -211,9 +211,10 @@
 	s, f := newRestoredSim(seed, 6, Options{SnapshotChanges: 3})
 	s.append(t, "1")
 	s.run(10 * time.Second)
+	s.logDelay = time.Duration(random.IntN(5)) * 100 * time.Millisecond
 	published, agreed := 1, 1
 	for range 12 {
-		switch random.IntN(6) {
+		switch random.IntN(7) {
 		case 0, 1, 2: // an operator publishes when the nodes follow the log
 			s.reload(t)
 			if s.eraBehind() {
@@ -225,6 +226,10 @@
 			s.log.Checkpoint()
 		case 4:
 			s.restoreLog()
+		case 6: // no call fails, and the log may be restored again while changes are written
+			s.log.Restore()
+			s.run(time.Duration(random.IntN(12)) * 100 * time.Millisecond)
+			s.log.Restore()
 		case 5:
 			n := s.nodes[random.IntN(len(s.nodes))]
 			if random.IntN(2) == 0 {
@@ -239,6 +244,7 @@
 			agreed = n
 		}
 	}
+	s.logDelay = 0
 	s.run(11 * time.Second) // the longest pause
 	s.restoreLog()
 	reads := s.log.Counts().Reads
--- a/version/distribute/restored.go
+++ b/version/distribute/restored.go
@@ -135,8 +135,8 @@
 		return nil
 	}
 	r.rewritten++
-	r.nextAppend = now
-	if c.readStartedAt.IsZero() {
+	if c.readStartedAt.IsZero() { // else the read in progress may lack the change
+		r.nextAppend = now
 		return c.startRead(now, nil)
 	}
 	return nil
