process/gate, platform: a withdrawal concerns only the process that it names

What callers could see: a target that had just started again got no work for good, since the withdrawal of the process before it arrived after its start, or since the clock of its host stepped back; a known target that had started again was taken out of rotation by a late withdrawal.

Cause: a remembered withdrawal was compared by the time of its arrival, and its effect had no end.

Change: a deregistration with the start of its instance (born) concerns processes up to that one.

--- a/process/gate/targets.go
+++ b/process/gate/targets.go
@@ -90,6 +90,9 @@
 		}
 	}
 	isNew := t == nil
+	if isNew && a.Incarnation != "" && g.withdrawals.cover(id, incarnation) {
+		return AnnounceStatus{Target: membership.Target{ID: id, Service: a.Service, Incarnation: incarnation, Leaving: true}}, changes, false, nil
+	}
 	if isNew {
 		if len(g.targets) >= maxTargets {
 			return AnnounceStatus{}, nil, false, errTooManyTargets
@@ -98,9 +101,6 @@
 		t.ID, t.Incarnation, t.AnnouncedAt = id, incarnation, now
 		g.targets[id] = t
 	}
-	if a.Incarnation != "" && g.withdrawals.cover(id, incarnation) {
-		a.Leaving = true // it was sent before the withdrawal
-	}
 	previous, wasDown := t.Target, t.down
 	if incarnation.Compare(t.Incarnation) > 0 {
 		changes = append(changes, g.attributeCrash(now, t)...)
@@ -174,16 +174,26 @@
 }
 
 // DrainTarget refuses queued and further work for a target. Running requests finish.
-// It returns false when the target is not announced; a late announcement then finds
-// it leaving.
+// It returns false when the target is not announced; a late announcement then does not
+// add it.
 func (g *Gate) DrainTarget(now time.Time, id string) (AnnounceStatus, bool) {
+	return g.DrainProcess(now, id, 0)
+}
+
+// DrainProcess is like DrainTarget for the process of the target that started at a
+// Unix time in milliseconds, if it is not 0. It has no effect on a later process.
+func (g *Gate) DrainProcess(now time.Time, id string, startedMS int64) (AnnounceStatus, bool) {
 	g.mu.Lock()
 	t := g.targets[id]
 	if t == nil {
-		g.withdrawals.add(now, id)
+		g.withdrawals.add(now, id, startedMS)
 		g.mu.Unlock()
 		return AnnounceStatus{}, false
 	}
+	if startedMS > 0 && startedMS < t.Incarnation.StartedMS {
+		defer g.mu.Unlock()
+		return g.status(t), true
+	}
 	newlyLeaving := !t.Leaving
 	g.drainTarget(now, t)
 	status := g.status(t)
