process/control, process/node: readers spread their calls after a restore; a draining node writes no address

By reading (review): all readers of a restored store read the newest documents in the same moment, and without a pause if the store names an end that it then rejects; a node whose name was taken over could write its address over that of its successor while it drained.

--- a/process/control/documents.go
+++ b/process/control/documents.go
@@ -144,6 +144,7 @@
 		case errors.Is(err, eventlog.ErrRestored):
 			d.log.Warn().Err(err).Msg("config: the log service was restored, reading the newest documents")
 			known = false
+			sleep(ctx, time.Duration(rand.Int64N(int64(minRetryDelay)))) // all readers notice at the same time
 			continue
 		case err != nil && ctx.Err() != nil:
 			return
--- a/process/node/seeds.go
+++ b/process/node/seeds.go
@@ -80,7 +80,7 @@
 	published := slices.ContainsFunc(entries, func(e eventlog.TableEntry) bool {
 		return e.Key == f.node.options.Settings.Node && string(e.Value) == address
 	})
-	if published {
+	if published || f.node.Draining() { // a process that takes over this node's name writes its own
 		return position.Era, nil
 	}
 	return position.Era, f.node.options.LogService.Put(ctx, eventlog.TableNodes, f.node.options.Settings.Node, []byte(address))
