request/order: a node that has seen only itself writes no Done marker

A node that had just started could read the orders stream while its membership view held only itself. After the log came back from an older copy it wrote a Done marker with itself as the only member, took the lost bindings as recovered and bound a key again that another node had bound. The order could run twice.

A node now counts as knowing the former era only if its view held another node when it last read the stream to its end. Without such a node, unknown keys stay unavailable until the lost bindings have ended. This also applies to a fleet of one node, which can't prove that it is the only one.

TestRestoredLogBindsNoKeyTwice also runs histories in which nodes know only themselves until they join. The simulated view is taken before the read, as process/entry does.

knowsFormer is renamed to readFormerEraToEnd, and given in process/entry to abandoned.

--- a/process/entry/bindings.go
+++ b/process/entry/bindings.go
@@ -202,16 +202,16 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	former := b.state.Era()
-	given, restored := b.state.ObserveEra(now, era)
+	abandoned, restored := b.state.ObserveEra(now, era)
 	if !restored && beyondEnd && from == b.state.Next() { // the log does not state its era
-		given, restored = b.state.Restored(now, era), true
+		abandoned, restored = b.state.Restored(now, era), true
 	}
 	if !restored {
 		return beyondEnd
 	}
 	b.entry.log.Warn().Int64("era", era).Int64("former_era", former).Int64("next_offset", from).Int("bindings", b.state.Len()).
 		Msg("entry: the log was restored from an older copy; its order bindings are written again, and unknown customer keys are unavailable")
-	b.decided(given)
+	b.decided(abandoned)
 	return true
 }
 
--- a/request/order/restore.go
+++ b/request/order/restore.go
@@ -48,16 +48,16 @@
 
 	unconfirmed map[KeyID]bool // bound in an earlier era and not yet read in this one
 	toRewrite   []KeyID
-	// knowsFormer states that this node missed no binding of the earlier eras, and members
+	// readFormerEraToEnd states that this node missed no binding of the earlier eras, and members
 	// are the nodes that may know others.
-	knowsFormer bool
-	members     map[Owner]bool
-	wroteDone   bool
-	done        map[Owner]bool      // nodes that wrote their bindings again
-	required    map[Owner]bool      // members of all nodes in done
-	rewritten   int                 // number of bindings written again in this era
-	conflicts   map[KeyID]time.Time // bound to two owners; the end of the later binding
-	found       []Conflict
+	readFormerEraToEnd bool
+	members            map[Owner]bool
+	wroteDone          bool
+	done               map[Owner]bool      // nodes that wrote their bindings again
+	required           map[Owner]bool      // members of all nodes in done
+	rewritten          int                 // number of bindings written again in this era
+	conflicts          map[KeyID]time.Time // bound to two owners; the end of the later binding
+	found              []Conflict
 }
 
 // Conflict is a customer key that is bound to two owners.
@@ -102,9 +102,9 @@
 		b.nextOffset = 1
 		return nil
 	}
-	knowsFormer, members := b.formerMembers(now)
+	readFormerEraToEnd, members := b.formerMembers(now)
 	b.nextOffset, b.lastRead = 1, time.Time{}
-	b.eraState = eraState{knowsFormer: knowsFormer, members: members, done: map[Owner]bool{}, required: map[Owner]bool{},
+	b.eraState = eraState{readFormerEraToEnd: readFormerEraToEnd, members: members, done: map[Owner]bool{}, required: map[Owner]bool{},
 		era: era, eraKnown: true, eraSeen: now, restored: true, unconfirmed: map[KeyID]bool{}, conflicts: b.conflicts, found: b.found}
 	for id := range b.bound {
 		b.unconfirmed[id] = true
@@ -138,9 +138,9 @@
 // formerMembers returns whether this node missed no binding before a restore, and the
 // nodes that may know bindings that it doesn't.
 func (b *Bindings) formerMembers(now time.Time) (bool, map[Owner]bool) {
-	knows := b.eraRead && b.recovered(now) && len(b.currentMembers) > 0
+	knows := b.eraRead && b.recovered(now) && b.knowsOther(b.membersAtRead)
 	members := map[Owner]bool{}
-	if !knows && b.knowsFormer { // restored again before the recovery was complete
+	if !knows && b.readFormerEraToEnd { // restored again before the recovery was complete
 		knows = true
 		for member := range b.members {
 			members[member] = true
@@ -152,6 +152,12 @@
 	return knows, members
 }
 
+// knowsOther reports whether members has another node. A node that starts may see only
+// itself until a peer responds, which doesn't prove that it is the only one.
+func (b *Bindings) knowsOther(members []Owner) bool {
+	return slices.ContainsFunc(members, func(member Owner) bool { return member.Node != b.self.Node })
+}
+
 // allDone reports that each node that may know a lost binding wrote its bindings again.
 func (b *Bindings) allDone() bool {
 	if len(b.done) == 0 {
@@ -252,7 +258,7 @@
 	if len(batch.Items) > 0 {
 		return batch
 	}
-	if b.restored && b.knowsFormer && len(b.unconfirmed) == 0 && !b.wroteDone {
+	if b.restored && b.readFormerEraToEnd && len(b.unconfirmed) == 0 && !b.wroteDone {
 		b.wroteDone = true
 		return b.doneBatch()
 	}
--- a/request/order/restore_test.go
+++ b/request/order/restore_test.go
@@ -58,6 +58,8 @@
 	random     *rand.Rand
 	log        restorableLog
 	nodes      []*Bindings
+	partial    bool             // a node that starts knows only itself until it has joined
+	joined     []bool           // by node
 	pages      []*eventlog.Page // read and not yet applied, by node
 	appends    []*lateAppend
 	started    int
@@ -70,7 +72,7 @@
 
 func newRestoreSimulation(opts BindingsOptions, membership bool, seed uint64) *restoreSimulation {
 	s := &restoreSimulation{opts: opts, membership: membership, now: epoch, random: rand.New(rand.NewPCG(seed, 1)), observed: map[KeyID][]observedBinding{},
-		nodes: make([]*Bindings, restoreNodes), pages: make([]*eventlog.Page, restoreNodes)}
+		nodes: make([]*Bindings, restoreNodes), joined: make([]bool, restoreNodes), pages: make([]*eventlog.Page, restoreNodes)}
 	for i := range s.nodes {
 		s.restart(i)
 		s.settle(i)
@@ -82,7 +84,7 @@
 func (s *restoreSimulation) restart(i int) {
 	s.started++
 	self := Owner{Node: fmt.Sprint("n", i), Incarnation: attempt.Incarnation{StartedMS: s.now.UnixMilli(), Random: uint64(s.started)}}
-	s.nodes[i], s.pages[i] = NewBindings(s.opts, self), nil
+	s.nodes[i], s.pages[i], s.joined[i] = NewBindings(s.opts, self), nil, !s.partial
 }
 
 // settle appends and reads at one node until it has nothing more to append.
@@ -103,6 +105,7 @@
 // readPage reads and applies one page and reports whether the end was reached.
 func (s *restoreSimulation) readPage(i, limit int) bool {
 	b := s.nodes[i]
+	s.setMembers(i)
 	page, err := s.log.read(b.Next(), limit)
 	if err != nil {
 		b.Restored(s.now, page.Era)
@@ -113,7 +116,6 @@
 
 func (s *restoreSimulation) applyPage(i int, page eventlog.Page) bool {
 	b := s.nodes[i]
-	s.setMembers(i)
 	if _, restored := b.ObserveEra(s.now, page.Era); restored {
 		return false
 	}
@@ -134,8 +136,8 @@
 		return
 	}
 	var members []Owner
-	for _, b := range s.nodes {
-		if b != nil {
+	for j, b := range s.nodes {
+		if b != nil && (s.joined[i] || j == i) {
 			members = append(members, b.self)
 		}
 	}
@@ -172,6 +174,10 @@
 			s.end(s.appends[s.random.IntN(len(s.appends))], false)
 		}
 	case n < 76:
+		if s.partial && s.random.IntN(8) == 0 {
+			s.joined[i] = true
+		}
+		s.setMembers(i)
 		if page, err := s.log.read(b.Next(), 1+s.random.IntN(5)); err != nil {
 			s.pages[i] = nil
 			b.Restored(s.now, page.Era)
@@ -243,8 +249,12 @@
 	}
 }
 
-func runRestoreSimulation(opts BindingsOptions, membership bool, seed uint64) *restoreSimulation {
+func runRestoreSimulation(opts BindingsOptions, membership, partial bool, seed uint64) *restoreSimulation {
 	s := newRestoreSimulation(opts, membership, seed)
+	s.partial = partial
+	for i := range s.joined {
+		s.joined[i] = !partial || s.random.IntN(2) == 0
+	}
 	for range 600 {
 		s.step()
 	}
@@ -258,11 +268,11 @@
 	const seeds = 300
 	failed, failedWithoutEra, recoveries := 0, 0, 0
 	for seed := range uint64(seeds) {
-		for _, membership := range []bool{false, true} {
-			s := runRestoreSimulation(BindingsOptions{}, membership, seed)
+		for _, views := range []struct{ membership, partial bool }{{false, false}, {true, false}, {true, true}} {
+			s := runRestoreSimulation(BindingsOptions{}, views.membership, views.partial, seed)
 			if len(s.violations) > 0 {
 				failed++
-				t.Errorf("seed %d, membership %t: %s", seed, membership, s.violations[0])
+				t.Errorf("seed %d, membership %t, partial %t: %s", seed, views.membership, views.partial, s.violations[0])
 			}
 			for _, b := range s.nodes {
 				if b.restored && b.allDone() {
@@ -270,11 +280,11 @@
 				}
 			}
 		}
-		if len(runRestoreSimulation(BindingsOptions{ignoreEra: true}, false, seed).violations) > 0 {
+		if len(runRestoreSimulation(BindingsOptions{ignoreEra: true}, false, false, seed).violations) > 0 {
 			failedWithoutEra++
 		}
 	}
-	t.Logf("histories that bind a key twice: %d of %d, %d with ignoreEra; %d nodes at the end of a complete recovery", failed, 2*seeds, failedWithoutEra, recoveries)
+	t.Logf("histories that bind a key twice: %d of %d, %d with ignoreEra; %d nodes at the end of a complete recovery", failed, 3*seeds, failedWithoutEra, recoveries)
 	if recoveries == 0 {
 		t.Error("no history completes a recovery")
 	}
@@ -456,3 +466,18 @@
 		}
 	}
 }
+
+// Guards against a key bound twice after a restore by a node that has only seen itself.
+func TestNodeThatKnowsOnlyItselfBindsNoLostKey(t *testing.T) {
+	s := newRestoreSimulation(BindingsOptions{}, true, 1)
+	s.partial = true
+	s.restart(2)
+	s.settle(2)
+	s.log.copied = len(s.log.records)
+	s.bind(0, 0)
+	s.log.restore()
+	s.settle(2)
+	if state := s.bind(2, 0); state != Unavailable {
+		t.Errorf("state %d of a key bound at node 0, want unavailable", state)
+	}
+}
