version/config: keep lost changes beyond the history after a restore

Cause: nodes write lost changes again oldest first, from a history of 64 changes and 64 KiB. When it no longer had the oldest one, none was written, no node moved to the new era and AwaitEra refused every publication.

Change: when a change can no longer be written singly, the node writes the objects that still differ, but for those that an unknown change has written since, as one change restored-<era>-<version in force>. A change beyond the history counts as lost only while such a difference remains. The change is not split; beyond the limits of a change the node stays in the earlier era. A remainder written by a node at an earlier version does not override later changes that another node has.

--- a/version/config/era.go
+++ b/version/config/era.go
@@ -62,7 +62,7 @@
 // Lost returns the ids of the changes that s has applied and that are missing in
 // other, the state of a log that came back from an older copy. The oldest is first.
 // A change with an object that another one has written in other since is not lost but
-// overridden.
+// overridden. A change beyond the history is lost only while remainingEdits has edits.
 func (s *State) Lost(other *State) []string {
 	applied, records := map[string]bool{}, map[string]int{}
 	for _, recent := range other.recentChanges {
@@ -70,6 +70,7 @@
 		records[id]++
 		applied[id] = applied[id] || recent.Outcome == OutcomeApplied
 	}
+	var remainder *[]Edit
 	var out []string
 	for _, recent := range s.recentChanges {
 		id := originalID(recent.ChangeID)
@@ -77,11 +78,63 @@
 		if recent.Outcome != OutcomeApplied || forgotten || applied[id] || records[id] >= maxRewrites || s.overridden(recent, other) {
 			continue
 		}
+		if !s.inHistory(recent.ChangeID) {
+			if remainder == nil {
+				edits := s.remainingEdits(other)
+				remainder = &edits
+			}
+			if len(*remainder) == 0 {
+				continue
+			}
+		}
 		out = append(out, recent.ChangeID)
 	}
 	return out
 }
 
+func (s *State) inHistory(changeID string) bool {
+	for _, entry := range s.history {
+		if entry.ChangeID == changeID {
+			return true
+		}
+	}
+	return false
+}
+
+// remainingEdits returns the edits that give the objects of other the values of s,
+// but for objects that a change unknown to s has written in other.
+func (s *State) remainingEdits(other *State) []Edit {
+	differences, err := Diff(other.Config(), s.Config())
+	if err != nil {
+		return []Edit{{}} // fails the check of the change, so that nothing is given up
+	}
+	var out []Edit
+	for _, d := range differences {
+		version := other.ObjectVersion(d.Object)
+		if writer := other.changeAt(version); writer != "" {
+			if _, known := s.appliedAt(writer); !known {
+				continue
+			}
+		}
+		out = append(out, Edit{Object: d.Object, BaseVersion: version, Value: d.To})
+	}
+	return out
+}
+
+// remainder returns one change with all remaining edits. Its id is the same on all
+// nodes with the same version in force.
+func (s *State) remainder(other *State) (Change, bool) {
+	id := "restored-" + strconv.FormatInt(other.era, 10) + "-" + strconv.FormatInt(s.Version(), 10)
+	c := Change{ChangeID: id, Author: "restore", Edits: s.remainingEdits(other)}
+	for n := 2; n <= maxRewrites+1; n++ {
+		if _, used := other.LookupChange(c.ChangeID); !used {
+			return c, len(c.Edits) > 0 && len(c.check(c.ChangeID)) == 0
+		}
+		c.ChangeID = id + rewriteSeparator + strconv.Itoa(n)
+	}
+	return Change{}, false
+}
+
 // overridden reports whether an object of a change was last written in other by a
 // change that s does not have, or has after it.
 func (s *State) overridden(change recentChange, other *State) bool {
@@ -102,8 +155,16 @@
 	return false
 }
 
-// appliedAt returns the offset at which s applied a change under any of its ids.
+// appliedAt returns the offset at which s applied a change under any of its ids. A
+// remainder that a node with an earlier or equal version wrote counts as applied at
+// that version, so that it does not override later changes of s.
 func (s *State) appliedAt(changeID string) (int64, bool) {
+	if parts := strings.Split(originalID(changeID), "-"); len(parts) == 3 && parts[0] == "restored" {
+		version, err := strconv.ParseInt(parts[2], 10, 64)
+		if at := PositionOf(version); err == nil && at.Era == s.era && version <= s.Version() {
+			return at.Offset, true
+		}
+	}
 	for _, recent := range s.recentChanges {
 		if recent.Outcome == OutcomeApplied && originalID(recent.ChangeID) == originalID(changeID) {
 			return recent.Offset, true
@@ -113,7 +174,8 @@
 }
 
 // Rewrite returns the change of s with the given id, based on the versions of
-// other. The result is false when the history of s no longer has the change.
+// other. When the history of s no longer has the change, it returns the remaining
+// difference as one change. The result is false when that cannot be written either.
 func (s *State) Rewrite(changeID string, other *State) (Change, bool) {
 	for i, entry := range s.history {
 		if entry.ChangeID != changeID {
@@ -131,7 +193,7 @@
 		}
 		return c, true
 	}
-	return Change{}, false
+	return s.remainder(other)
 }
 
 // valueAfter returns the TOML of an object after the change at an index of the
--- a/version/distribute/restore_test.go
+++ b/version/distribute/restore_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -285,3 +286,127 @@
 	}
 	return lowest
 }
+
+// Guards against nodes that stay in the earlier era because the history no longer
+// has the oldest lost changes.
+func TestRestoreLosesMoreThanTheHistory(t *testing.T) {
+	s, _ := newRestoredSim(21, 9, Options{})
+	s.append(t, "1")
+	s.run(time.Minute)
+	s.log.Checkpoint()
+	for i := range 70 {
+		s.append(t, strconv.Itoa(2+i))
+	}
+	s.run(5 * time.Second)
+	s.restoreLog()
+	s.run(2 * time.Minute)
+	s.reload(t)
+	s.append(t, "100")
+	s.run(10 * time.Minute)
+	s.reload(t)
+	for _, n := range s.nodes {
+		if n.restored != nil {
+			t.Errorf("node %s stays in the earlier era; lost: %v", n.options.Node, n.state.Lost(n.restored.state))
+		}
+	}
+	if d := s.disagreement(); d != "" {
+		t.Error(d)
+	}
+}
+
+// Guards against losing the
+// value in force when no later change has written the object.
+func TestRestoreKeepsValueBeyondTheHistory(t *testing.T) {
+	s, _ := newRestoredSim(21, 9, Options{})
+	s.append(t, "1")
+	s.run(time.Minute)
+	s.log.Checkpoint()
+	for i := range 70 {
+		s.append(t, strconv.Itoa(2+i))
+	}
+	s.run(5 * time.Second)
+	s.restoreLog()
+	s.run(5 * time.Minute)
+	s.reload(t)
+	for _, n := range s.nodes {
+		if n.restored != nil || n.Config().CustomerHeader != "X-71" {
+			t.Errorf("node %s: in the earlier era %v, header %s", n.options.Node, n.restored != nil, n.Config().CustomerHeader)
+		}
+	}
+}
+
+// Guards against the same fault where a few large values exceed the history.
+func TestRestoreLosesLargeChanges(t *testing.T) {
+	for _, later := range []bool{false, true} {
+		s, _ := newRestoredSim(21, 9, Options{})
+		put := func(id string) {
+			t.Helper()
+			if err := s.logState.Advance(context.Background(), s.log, nil); err != nil {
+				t.Fatal(err)
+			}
+			edit := config.Edit{
+				Object:      config.ObjectCustomers,
+				BaseVersion: s.logState.ObjectVersion(config.ObjectCustomers),
+				Value:       "# " + strings.Repeat("x", 15<<10) + "\ncustomer_header = \"X-" + id + "\"",
+			}
+			data, err := config.Change{ChangeID: id, Author: "ana", Edits: []config.Edit{edit}}.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := s.log.Append(context.Background(), eventlog.StreamConfig, data); err != nil {
+				t.Fatal(err)
+			}
+		}
+		put("1")
+		s.run(time.Minute)
+		s.log.Checkpoint()
+		for i := range 6 {
+			put(strconv.Itoa(2 + i))
+		}
+		s.run(5 * time.Second)
+		s.restoreLog()
+		s.run(2 * time.Minute)
+		s.reload(t)
+		want := "X-7"
+		if later {
+			s.append(t, "30")
+			want = "X-30"
+		}
+		s.run(5 * time.Minute)
+		s.reload(t)
+		for _, n := range s.nodes {
+			if n.restored != nil || n.Config().CustomerHeader != want {
+				t.Errorf("node %s: in the earlier era %v, header %s, want %s", n.options.Node, n.restored != nil, n.Config().CustomerHeader, want)
+			}
+		}
+	}
+}
+
+// Guards against a remainder of nodes at an earlier version that overrides the last
+// change, which only one node has.
+func TestRestoreKeepsChangeAfterRemainder(t *testing.T) {
+	s, _ := newRestoredSim(21, 9, Options{})
+	s.append(t, "1")
+	s.run(time.Minute)
+	s.log.Checkpoint()
+	for i := range 69 {
+		s.append(t, strconv.Itoa(2+i))
+	}
+	s.run(5 * time.Second)
+	offset := s.append(t, "71")
+	page, err := s.log.Read(context.Background(), eventlog.StreamConfig, offset, 10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	last := s.nodes[8]
+	last.RecordsReceived(s.now, Peer{Node: "x"}, config.RecordsOf(page), false, nil)
+	last.pausedUntil = s.now.Add(30 * time.Second)
+	s.log.Restore()
+	s.run(5 * time.Minute)
+	s.reload(t)
+	for _, n := range s.nodes {
+		if n.restored != nil || n.Config().CustomerHeader != "X-71" {
+			t.Errorf("node %s: in the earlier era %v, header %s", n.options.Node, n.restored != nil, n.Config().CustomerHeader)
+		}
+	}
+}
