--- a/request/order/restore.go
+++ b/request/order/restore.go
@@ -21,7 +21,7 @@
 	Restored bool `json:"restored,omitempty"`
 	// Done states that Writer read the stream before the log was restored and that the
 	// stream now has all bindings that it knew. Members are the nodes that may have known
-	// others.
+	// bindings that Writer did not.
 	Done    bool    `json:"done,omitempty"`
 	Writer  *Owner  `json:"writer,omitempty"`
 	Members []Owner `json:"members,omitempty"`
