--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -117,8 +117,9 @@
 		client: roundtrip.New(roundtrip.Options{
 			DialTimeout: targetDialTimeout, IdleTimeout: targetIdleTimeout, MaxIdle: maxIdleTargetConnections, HeaderBytes: o.HeaderBytes,
 		}),
-		workQueued: make(chan struct{}, 1),
-		targets:    map[string]*target{}, withdrawals: withdrawals{},
+		workQueued:     make(chan struct{}, 1),
+		targets:        map[string]*target{},
+		withdrawals:    withdrawals{},
 		admission:      admission.New(admission.Options{QueuePerSlot: o.QueuePerSlot}, o.Reporter),
 		poison:         poison.New(poison.Options{Node: o.Node}),
 		queued:         map[admission.Ticket]chan admission.Decision{},
