process/control: report who reads the configuration from the log service

The log could not tell a reader that gets no response from a fleet in which no node that could read has the duty: readers were not named, and a read that waits writes no line for 11 s. A node now writes a line when it begins or ends to follow the log service, and the metric config_log has the age of its last successful read.

--- a/process/control/configuration.go
+++ b/process/control/configuration.go
@@ -236,6 +236,13 @@
 	return c.core.Version()
 }
 
+// LogStatus returns how this node gets the configuration from the log.
+func (c *Configuration) LogStatus() LogStatus {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return LogStatus{Reader: c.core.IsReader(), LastRead: c.core.LastRead()}
+}
+
 // Ready reports whether the configuration allows the node to serve.
 func (c *Configuration) Ready() bool {
 	c.mu.Lock()
--- a/process/control/documents.go
+++ b/process/control/documents.go
@@ -66,8 +66,15 @@
 	calls   *callGroup
 	log     zerolog.Logger
 
-	mu   sync.Mutex
-	core *document.Core
+	mu     sync.Mutex
+	core   *document.Core
+	status LogStatus
+}
+
+// LogStatus describes how a node gets the configuration from the log service.
+type LogStatus struct {
+	Reader   bool      // the node follows the log service instead of checking it from time to time
+	LastRead time.Time // last successful call; zero without one
 }
 
 // NewDocuments returns the service of one node.
@@ -126,6 +133,7 @@
 	known, retryDelay := false, minRetryDelay // whether position is known
 	dependency := record.Dependency{Name: "log service (configuration)"}
 	for ctx.Err() == nil {
+		d.observeRole()
 		if known && !d.isReader() {
 			d.waitForCheck(ctx)
 			known = false
@@ -158,6 +166,7 @@
 			continue
 		}
 		retryDelay = minRetryDelay
+		d.noteRead(time.Now())
 		for _, e := range entries {
 			if e.Key == source.Key && len(e.Value) > 0 {
 				d.offer(e.Value, document.FromLog, "log service")
@@ -172,6 +181,37 @@
 	return d.core.IsReader()
 }
 
+// observeRole logs whether this node follows the log service when that has changed.
+func (d *Documents) observeRole() {
+	d.mu.Lock()
+	reader := d.core.IsReader()
+	changed := reader != d.status.Reader
+	d.status.Reader = reader
+	lastRead, version := d.status.LastRead, d.core.Version()
+	d.mu.Unlock()
+	if !changed {
+		return
+	}
+	line := d.log.Info().Bool("reader", reader).Int64("version", version)
+	if !lastRead.IsZero() {
+		line = line.Dur("last_read_age_ms", time.Since(lastRead))
+	}
+	line.Msg("config: the role of this node at the log service changed")
+}
+
+func (d *Documents) noteRead(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.status.LastRead = now
+}
+
+// LogStatus returns how this node gets the configuration from the log service.
+func (d *Documents) LogStatus() LogStatus {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.status
+}
+
 // waitForCheck waits a random time around checkInterval, or until this node
 // becomes a reader.
 func (d *Documents) waitForCheck(ctx context.Context) {
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -104,6 +104,7 @@
 	node.client = control.NewClient(control.ClientOptions{Token: o.Settings.FleetToken, Meter: node.meter, Timeout: controlCallTimeout})
 	node.fleet = newFleetView(node, node.client)
 	node.config = node.newConfiguration()
+	node.metrics.Set("config_log", expvar.Func(node.logStatusMetric))
 	server, err := control.NewServer(control.ServerOptions{
 		Token: o.Settings.FleetToken, Meter: node.meter, MaxConnections: o.Settings.Limits.Connections,
 		Log: func(err error) { node.log.Debug().Msgf("node: %v", err) },
@@ -283,6 +284,22 @@
 	Version() (version, offset int64)
 	Configuration(context.Context, *controlpb.ConfigurationRequest) (*controlpb.ConfigurationResponse, error)
 	Snapshot(ctx context.Context, newerThan int64) ([]byte, error)
+	LogStatus() control.LogStatus
+}
+
+// logStatusMetric is the metric config_log.
+type logStatusMetric struct {
+	Reader         bool    `json:"reader"`
+	LastReadAgeSec float64 `json:"last_read_age_s"` // -1 without a successful read
+}
+
+func (n *Node) logStatusMetric() any {
+	status := n.config.LogStatus()
+	metric := logStatusMetric{Reader: status.Reader, LastReadAgeSec: -1}
+	if !status.LastRead.IsZero() {
+		metric.LastReadAgeSec = n.now().Sub(status.LastRead).Seconds()
+	}
+	return metric
 }
 
 func (n *Node) newConfiguration() configuration {
--- a/version/distribute/core.go
+++ b/version/distribute/core.go
@@ -120,6 +120,7 @@
 	nextRead          time.Time
 	readStartedAt     time.Time // zero when no read of the log is in progress
 	logDown           bool      // the last read of the log failed or timed out
+	lastRead          time.Time // last successful read of the log
 	logReadToEnd      bool      // the log was read to its end
 	ready             bool
 	snapshotNeeded    bool      // the log has trimmed the next record, or the node has just started
@@ -172,6 +173,9 @@
 // Version returns the version in force and the offset of the last record applied.
 func (c *Core) Version() (version, offset int64) { return c.state.Version(), c.state.Offset() }
 
+// LastRead returns the time of the last successful read of the log, zero without one.
+func (c *Core) LastRead() time.Time { return c.lastRead }
+
 // Ready reports whether the node has the newest version it could reach: that
 // of the log, or while the log is down that of one peer in each failure domain
 // that responded. A node that starts after the log came back from an older copy waits
@@ -277,6 +281,7 @@
 		}
 		return nil
 	}
+	c.lastRead = now
 	out := c.apply(config.RecordsOf(page), "")
 	if config.PositionOf(c.reading().Offset()).Offset+1 >= page.Next {
 		if c.restored != nil {
