version/distribute, process: a node that can read the store follows it in place of one that cannot

The readers of the operator's document were the first two of each failure domain by rank, whether or not they could read. All six waited on reads without a response; the store served 11 other nodes, of which none had the duty.

All nodes of a fleet of up to 32 now follow the document; in a larger one 32 do, at least two of each failure domain. A node reports by gossip whether its last call succeeded. The next by rank takes over from one that cannot read or that does not respond. The waits of the reads vary, so that some end soon after a change.

--- a/process/control/documents.go
+++ b/process/control/documents.go
@@ -20,12 +20,19 @@
 )
 
 const (
-	// followWait is how long a read of the table waits for a change. A node detects
-	// a silent connection after that time; meanwhile peers forward changes.
-	followWait = 10 * time.Second
+	// meanFollowWait is the mean time for which a read of the table waits for a change.
+	// A node detects a silent connection after that time; meanwhile others forward
+	// changes. The times vary from minFollowWait on: a change ends the reads of all
+	// readers at once, and some of the next ones must end soon enough to show that the
+	// log service does not respond.
+	meanFollowWait = 10 * time.Second
+	minFollowWait  = 300 * time.Millisecond
 	// checkInterval is the mean time between reads of a node that does not follow
 	// the table. Peers forward changes to it within about a second.
 	checkInterval = 15 * time.Second
+	// lostCheckInterval applies instead to a node that cannot read the table while
+	// others can. All calls are paid for, also those that the service refuses.
+	lostCheckInterval = 3 * time.Second
 	// readerPollInterval is the time between checks whether this node has become
 	// a reader, which follows the table.
 	readerPollInterval = 200 * time.Millisecond
@@ -57,6 +64,9 @@
 	Log      zerolog.Logger
 	// Record receives the decision records of changes of state. Default none.
 	Record func(record.Record)
+	// OnAccess is called when the node begins or ceases to be able to read the table.
+	// Default none.
+	OnAccess func(distribute.Access)
 }
 
 // Documents keeps the newest configuration document in force. It is safe for
@@ -68,6 +78,7 @@
 
 	mu     sync.Mutex
 	core   *document.Core
+	access distribute.Access
 	status LogStatus
 }
 
@@ -133,15 +144,14 @@
 	known, retryDelay := false, minRetryDelay // whether position is known
 	dependency := record.Dependency{Name: "log service (configuration)"}
 	for ctx.Err() == nil {
-		d.observeRole()
-		if known && !d.isReader() {
-			d.waitForCheck(ctx)
+		if role := d.observeRole(); known && !role.Reader {
+			d.waitForRole(ctx, checkInterval)
 			known = false
 		}
 		var entries []eventlog.TableEntry
 		var err error
 		if known {
-			entries, position, err = source.Tables.Follow(ctx, source.Table, position, followWait)
+			entries, position, err = source.Tables.Follow(ctx, source.Table, position, followWait())
 		} else {
 			entries, position, err = source.Tables.Newest(ctx, source.Table)
 		}
@@ -160,13 +170,17 @@
 		if change, ok := dependency.Observe(err); ok {
 			d.record(record.KindDependency, change)
 		}
+		d.observeRead(time.Now(), err)
 		if known = err == nil; !known { // read the newest records again: the log may have lost the history of this position
+			repeated := retryDelay > minRetryDelay
 			sleep(ctx, retryDelay/2+time.Duration(rand.Int64N(int64(retryDelay))))
 			retryDelay = min(2*retryDelay, maxRetryDelay)
+			if repeated && !d.observeRole().Needed {
+				d.waitForRole(ctx, lostCheckInterval)
+			}
 			continue
 		}
 		retryDelay = minRetryDelay
-		d.noteRead(time.Now())
 		for _, e := range entries {
 			if e.Key == source.Key && len(e.Value) > 0 {
 				d.offer(e.Value, document.FromLog, "log service")
@@ -175,34 +189,47 @@
 	}
 }
 
-func (d *Documents) isReader() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.core.IsReader()
+func followWait() time.Duration {
+	return minFollowWait + time.Duration(rand.Int64N(int64(2*(meanFollowWait-minFollowWait))))
 }
 
-// observeRole logs whether this node follows the log service when that has changed.
-func (d *Documents) observeRole() {
+// observeRole returns the role of this node, and logs it when it has changed.
+func (d *Documents) observeRole() distribute.Role {
 	d.mu.Lock()
-	reader := d.core.IsReader()
-	changed := reader != d.status.Reader
-	d.status.Reader = reader
-	lastRead, version := d.status.LastRead, d.core.Version()
+	role := d.core.Role()
+	changed := role.Reader != d.status.Reader
+	d.status.Reader = role.Reader
+	access, lastRead, version := d.access, d.status.LastRead, d.core.Version()
 	d.mu.Unlock()
 	if !changed {
-		return
+		return role
 	}
-	line := d.log.Info().Bool("reader", reader).Int64("version", version)
+	line := d.log.Info().Bool("reader", role.Reader).Stringer("access", access).Int("position", role.Position).Int("quota", role.Quota).Int64("version", version)
 	if !lastRead.IsZero() {
 		line = line.Dur("last_read_age_ms", time.Since(lastRead))
 	}
 	line.Msg("config: the role of this node at the log service changed")
+	return role
 }
 
-func (d *Documents) noteRead(now time.Time) {
+// observeRead notes the result of a call and reports whether the node can read the
+// table when that has changed.
+func (d *Documents) observeRead(now time.Time, err error) {
+	access := distribute.AccessUsable
+	if err != nil {
+		access = distribute.AccessLost
+	}
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.status.LastRead = now
+	if err == nil {
+		d.status.LastRead = now
+	}
+	changed := access != d.access
+	d.access = access
+	d.core.SetAccess(access)
+	d.mu.Unlock()
+	if changed && d.options.OnAccess != nil {
+		d.options.OnAccess(access)
+	}
 }
 
 // LogStatus returns how this node gets the configuration from the log service.
@@ -212,11 +239,14 @@
 	return d.status
 }
 
-// waitForCheck waits a random time around checkInterval, or until this node
-// becomes a reader.
-func (d *Documents) waitForCheck(ctx context.Context) {
-	due := time.Now().Add(checkInterval/2 + time.Duration(rand.Int64N(int64(checkInterval))))
-	for ctx.Err() == nil && time.Now().Before(due) && !d.isReader() {
+// waitForRole waits a random time around the given one, or until the node is needed
+// as a reader.
+func (d *Documents) waitForRole(ctx context.Context, mean time.Duration) {
+	due := time.Now().Add(mean/2 + time.Duration(rand.Int64N(int64(mean))))
+	for ctx.Err() == nil && time.Now().Before(due) {
+		if role := d.observeRole(); role.Reader || role.Needed {
+			return
+		}
 		sleep(ctx, readerPollInterval)
 	}
 }
--- /dev/null
+++ b/process/control/readers_test.go
@@ -0,0 +1,200 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/hyssopsill/hyssopsill/eventlog"
+	"github.com/hyssopsill/hyssopsill/process/control"
+	"github.com/hyssopsill/hyssopsill/standin/logservice"
+	"github.com/hyssopsill/hyssopsill/version/config"
+	"github.com/hyssopsill/hyssopsill/version/distribute"
+	"github.com/hyssopsill/hyssopsill/version/document"
+)
+
+// callTimeout is the time after which a call that gets no response fails.
+const callTimeout = time.Second
+
+// partialTables is the view of one node on a log service that may not respond to it.
+type partialTables struct {
+	*logservice.Service
+	mu     sync.Mutex
+	silent chan struct{} // closed when the service responds again; nil while it does
+}
+
+func (p *partialTables) setSilent(silent bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case silent && p.silent == nil:
+		p.silent = make(chan struct{})
+	case !silent && p.silent != nil:
+		close(p.silent)
+		p.silent = nil
+	}
+}
+
+// await fails after the timeout of a call while the service is silent.
+func (p *partialTables) await(ctx context.Context, wait time.Duration) error {
+	p.mu.Lock()
+	silent := p.silent
+	p.mu.Unlock()
+	if silent == nil {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait + callTimeout):
+	case <-silent:
+	}
+	return eventlog.ErrUnavailable
+}
+
+func (p *partialTables) Newest(ctx context.Context, table string) ([]eventlog.TableEntry, eventlog.Position, error) {
+	if err := p.await(ctx, 0); err != nil {
+		return nil, eventlog.Position{}, err
+	}
+	return p.Service.Newest(ctx, table)
+}
+
+func (p *partialTables) Follow(ctx context.Context, table string, from eventlog.Position, wait time.Duration) ([]eventlog.TableEntry, eventlog.Position, error) {
+	startedAt := time.Now()
+	entries, next, err := p.Service.Follow(ctx, table, from, wait)
+	if silent := p.await(ctx, max(0, wait-time.Since(startedAt))); silent != nil {
+		return nil, from, silent
+	}
+	return entries, next, err
+}
+
+// documentFleet is a fleet whose nodes know at once what the others report and do not
+// forward documents.
+type documentFleet struct {
+	log   *logservice.Service
+	nodes []*documentNode
+
+	mu     sync.Mutex
+	access map[string]distribute.Access
+}
+
+type documentNode struct {
+	*control.Documents
+	peer   distribute.Peer
+	tables *partialTables
+}
+
+func startDocumentFleet(t *testing.T, nodes, domains int) *documentFleet {
+	t.Helper()
+	f := &documentFleet{log: logservice.New(logservice.Options{}), access: map[string]distribute.Access{}}
+	decode := func(data []byte) (*config.Config, error) {
+		version, err := strconv.ParseInt(string(data), 10, 64)
+		return &config.Config{Version: version}, err
+	}
+	client := control.NewClient(control.ClientOptions{Token: "secret"})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait sync.WaitGroup
+	for i := range nodes {
+		n := &documentNode{tables: &partialTables{Service: f.log}}
+		n.peer = distribute.Peer{Node: fmt.Sprint("n", i), Domain: fmt.Sprint("d", i%domains), Address: "127.0.0.1:1"}
+		n.Documents = control.NewDocuments(control.DocumentOptions{
+			Core:   document.Options{Node: n.peer.Node, Domain: n.peer.Domain, Decode: decode},
+			Source: control.DocumentSource{Tables: n.tables, Table: "op", Key: "config", Decode: decode},
+			Client: client, Peers: f.peers, Random: rand.New(rand.NewPCG(uint64(i), 2)), Log: zerolog.Nop(),
+			OnAccess: func(a distribute.Access) { f.setAccess(n.peer.Node, a) },
+		})
+		f.nodes = append(f.nodes, n)
+	}
+	for _, n := range f.nodes {
+		wait.Go(func() { _ = n.Serve(ctx) }) // ends with the context's error
+	}
+	t.Cleanup(func() { cancel(); wait.Wait(); _ = client.Close() })
+	return f
+}
+
+func (f *documentFleet) setAccess(node string, a distribute.Access) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.access[node] = a
+}
+
+func (f *documentFleet) peers() ([]distribute.Peer, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []distribute.Peer
+	for _, n := range f.nodes {
+		p := n.peer
+		p.Access = f.access[p.Node]
+		out = append(out, p)
+	}
+	return out, true
+}
+
+func (f *documentFleet) publish(t *testing.T, version int) {
+	t.Helper()
+	if err := f.log.Put(context.Background(), "op", "config", []byte(strconv.Itoa(version))); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (f *documentFleet) readers() []*documentNode {
+	return slices.DeleteFunc(slices.Clone(f.nodes), func(n *documentNode) bool { return !n.LogStatus().Reader })
+}
+
+func (n *documentNode) hasVersion(version int) func() bool {
+	return func() bool {
+		got, _ := n.Version()
+		return got >= int64(version)
+	}
+}
+
+// Guards against a version that is in force nowhere, although the log service serves
+// one node of a small fleet, because that node's name does not make it a reader.
+func TestServedNodeReadsWhenAllOthersAreTurnedAway(t *testing.T) {
+	f := startDocumentFleet(t, 12, 3)
+	f.publish(t, 1)
+	for _, n := range f.nodes {
+		waitFor(t, 5*time.Second, n.peer.Node+" has the first version", n.hasVersion(1))
+	}
+	time.Sleep(500 * time.Millisecond) // until nodes that are no readers know that
+	for i, served := range f.nodes {
+		for _, n := range f.nodes {
+			n.tables.setSilent(n != served)
+		}
+		f.publish(t, i+2)
+		waitFor(t, 2*time.Second, served.peer.Node+" has the version that only it can read", served.hasVersion(i+2))
+		for _, n := range f.nodes {
+			n.tables.setSilent(false)
+		}
+		for _, n := range f.nodes {
+			waitFor(t, 10*time.Second, n.peer.Node+" can read again", n.hasVersion(i+2))
+		}
+	}
+}
+
+// Guards against readers of a large fleet that keep their duty while the log service
+// does not respond to them, and others could read.
+func TestOtherNodesReadInPlaceOfSilentReaders(t *testing.T) {
+	f := startDocumentFleet(t, 48, 2)
+	time.Sleep(500 * time.Millisecond) // at the start all nodes read, until the first version
+	f.publish(t, 1)
+	waitFor(t, 10*time.Second, "32 nodes are readers", func() bool { return len(f.readers()) == 32 })
+	for _, n := range f.readers() {
+		n.tables.setSilent(true)
+	}
+	f.publish(t, 2)
+	waitFor(t, 5*time.Second, "a node that is served has the version", func() bool {
+		for _, n := range f.nodes {
+			if n.hasVersion(2)() {
+				return true
+			}
+		}
+		return false
+	})
+}
--- a/process/node/fleet.go
+++ b/process/node/fleet.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hyssopsill/hyssopsill/connection/health"
@@ -29,6 +30,9 @@
 	// joinTimeout is how long a node that knows of others waits for a response
 	// before it serves: one of them may know another process with its name.
 	joinTimeout = 3 * time.Second
+	// accessUrgency is how long a change of the access to the log service makes reports
+	// urgent. An urgent report goes out once a second.
+	accessUrgency = 2 * time.Second
 	// leaveDelay gives the last messages of a leaving node time to reach its peers.
 	leaveDelay = 300 * time.Millisecond
 )
@@ -40,16 +44,21 @@
 	gossip    *control.Gossip
 	startedAt time.Time
 
-	mu             sync.Mutex
-	seeds          map[string]bool // control addresses from the table of nodes
-	seedsRead      bool            // the table has been read
-	leaving        bool
-	hasLeft        bool
-	appliedView    *membership.Member // first member of the last applied view, which identifies it
-	states         map[string]membership.NodeState
-	reportsAt      time.Time // when encodedReports was made
-	encodedReports []byte    // reports of this node
-	urgent         bool      // encodedReports are sent within a second
+	mu              sync.Mutex
+	seeds           map[string]bool // control addresses from the table of nodes
+	seedsRead       bool            // the table has been read
+	leaving         bool
+	hasLeft         bool
+	appliedView     *membership.Member // first member of the last applied view, which identifies it
+	states          map[string]membership.NodeState
+	reportsAt       time.Time                    // when encodedReports was made
+	encodedReports  []byte                       // reports of this node
+	urgent          bool                         // encodedReports are sent within a second
+	access          map[string]distribute.Access // reported by the other nodes
+	accessChangedAt time.Time                    // when this node's own access changed last
+
+	ownAccess     atomic.Uint32 // distribute.Access of this node to the log service
+	accessChanged atomic.Bool   // ownAccess is not part of encodedReports yet
 
 	remote *remoteReports // used by Serve only
 	round  uint64         // number of applied views; used by Serve only
@@ -70,7 +79,7 @@
 	}, newRand(), n.metrics.Invariants)
 	return &fleetView{
 		node: n, gossip: control.NewGossip(s.Node, m, client), startedAt: n.now(), seeds: map[string]bool{},
-		states: map[string]membership.NodeState{}, remote: newRemoteReports(),
+		states: map[string]membership.NodeState{}, access: map[string]distribute.Access{}, remote: newRemoteReports(),
 	}
 }
 
@@ -94,9 +103,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.node.now()
-	if now.Sub(f.reportsAt) >= reportsInterval {
+	if changed := f.accessChanged.Swap(false); changed || now.Sub(f.reportsAt) >= reportsInterval {
 		own := f.node.localReports()
-		f.reportsAt, f.encodedReports, f.urgent = now, encodeReports(own, membership.MaxReports), isUrgent(own, now)
+		own.access = distribute.Access(f.ownAccess.Load())
+		if changed {
+			f.accessChangedAt = now
+		}
+		f.reportsAt, f.encodedReports = now, encodeReports(own, membership.MaxReports)
+		f.urgent = isUrgent(own, now) || now.Sub(f.accessChangedAt) < accessUrgency
 	}
 	local := membership.Local{
 		Targets: f.node.gate.Targets(), Leaving: f.leaving, Left: f.hasLeft, Serving: f.node.serving.Load(),
@@ -106,6 +120,13 @@
 	f.gossip.WithLock(func(m *membership.Membership) { m.SetLocal(now, local) })
 }
 
+// setAccess records whether this node can read the log service, for its reports. It
+// takes no lock, since its callers hold that of the configuration.
+func (f *fleetView) setAccess(a distribute.Access) {
+	f.ownAccess.Store(uint32(a))
+	f.accessChanged.Store(true)
+}
+
 // isUrgent reports whether r has a quarantine, or a crash of the last 5 s.
 func isUrgent(r reports, now time.Time) bool {
 	return slices.ContainsFunc(r.poison, func(p poison.Report) bool {
@@ -170,6 +191,9 @@
 	if malformed > 0 {
 		f.node.metrics.Add("gossip_bad_reports", int64(malformed))
 	}
+	f.mu.Lock()
+	f.access = f.remote.access()
+	f.mu.Unlock()
 	for _, r := range changed {
 		f.node.entry.MergeReports(r.health)
 		f.node.gate.MergePoison(r.poison)
@@ -243,9 +267,13 @@
 func (f *fleetView) peers() ([]distribute.Peer, bool) {
 	var out []distribute.Peer
 	v := f.gossip.View()
+	f.mu.Lock()
+	access := f.access
+	f.mu.Unlock()
 	for _, m := range v.Members {
 		if m.State != membership.NodeDead && m.State != membership.NodeLeft && m.Node != v.Self {
-			out = append(out, distribute.Peer{Node: m.Node, Domain: m.Domain, Address: m.ControlAddress, Version: m.ConfigVersion})
+			out = append(out, distribute.Peer{Node: m.Node, Domain: m.Domain, Address: m.ControlAddress, Version: m.ConfigVersion,
+				Silent: m.State != membership.NodeAlive && m.State != membership.NodePaused, Access: access[m.Node]})
 		}
 	}
 	return out, f.joined()
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -308,7 +308,7 @@
 		return control.NewDocuments(control.DocumentOptions{
 			Core:   document.Options{Node: s.Node, Domain: s.Domain, Decode: n.options.Documents.Decode, OnConfig: n.setConfig},
 			Source: *n.options.Documents, Client: n.client, Peers: n.fleet.peers, Random: newRand(), Reporter: n.metrics.Invariants, Log: n.log,
-			Record: n.record,
+			Record: n.record, OnAccess: n.fleet.setAccess,
 		})
 	}
 	return control.NewConfiguration(control.ConfigurationOptions{
--- a/process/node/remote.go
+++ b/process/node/remote.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hyssopsill/hyssopsill/version/distribute"
 	"github.com/hyssopsill/hyssopsill/version/membership"
 )
 
@@ -18,6 +19,7 @@
 type remoteReport struct {
 	encoded string
 	demand  map[uint32]float32
+	access  distribute.Access
 	round   uint64 // number of the last view that had the node
 }
 
@@ -57,7 +59,7 @@
 			r.addDemand(previous.demand, -1)
 		}
 		r.addDemand(decoded.demand, 1)
-		r.nodes[m.Node] = &remoteReport{encoded: string(m.Reports), demand: decoded.demand, round: round}
+		r.nodes[m.Node] = &remoteReport{encoded: string(m.Reports), demand: decoded.demand, access: decoded.access, round: round}
 	}
 	for name, previous := range r.nodes {
 		if previous.round != round {
@@ -82,6 +84,15 @@
 	}
 }
 
+// access returns which nodes can read the log service, by their reports.
+func (r *remoteReports) access() map[string]distribute.Access {
+	access := make(map[string]distribute.Access, len(r.nodes))
+	for name, report := range r.nodes {
+		access[name] = report.access
+	}
+	return access
+}
+
 // shares returns this node's share of the demand of each service.
 func (r *remoteReports) shares(own map[string]float64) map[string]float64 {
 	shares := make(map[string]float64, len(own))
--- a/process/node/reports.go
+++ b/process/node/reports.go
@@ -13,6 +13,7 @@
 	"github.com/hyssopsill/hyssopsill/connection/health"
 	"github.com/hyssopsill/hyssopsill/request/attempt"
 	"github.com/hyssopsill/hyssopsill/request/poison"
+	"github.com/hyssopsill/hyssopsill/version/distribute"
 )
 
 // reports is what the entry and the gate of a node report to the other nodes by
@@ -21,6 +22,7 @@
 	health []health.Report
 	poison []poison.Report
 	demand map[uint32]float32 // requests/s, by hash of the service
+	access distribute.Access  // to the log service
 }
 
 const reportsFormat = 1 // first byte of the encoding
@@ -31,6 +33,7 @@
 	partPoison byte = iota + 1
 	partHealth
 	partDemand
+	partAccess // earlier releases ignore it
 )
 
 var errMalformedReports = errors.New("reports: malformed")
@@ -38,7 +41,7 @@
 func serviceHash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
 
 // encodeReports encodes r in at most limit bytes and leaves out the parts that
-// do not fit. Poison reports come first, then the greatest suspicions, then the
+// do not fit. The access to the log service and poison reports come first, then the greatest suspicions, then the
 // greatest demands.
 func encodeReports(r reports, limit int) []byte {
 	out := []byte{reportsFormat}
@@ -48,6 +51,9 @@
 			out = append(append(out, part...), content...)
 		}
 	}
+	if r.access != distribute.AccessUnknown {
+		add(partAccess, []byte{byte(r.access)})
+	}
 	poisons := slices.Clone(r.poison)
 	slices.SortStableFunc(poisons, func(a, b poison.Report) int { return b.Until.Compare(a.Until) })
 	for _, p := range poisons {
@@ -195,6 +201,8 @@
 			out.poison = append(out.poison, part.readPoison(node))
 		case partHealth:
 			out.health = append(out.health, part.readHealth(node, now))
+		case partAccess:
+			out.access = distribute.Access(part.readBytes(1)[0])
 		case partDemand:
 			out.demand[binary.LittleEndian.Uint32(part.readBytes(4))] = math.Float32frombits(binary.LittleEndian.Uint32(part.readBytes(4)))
 		}
--- a/process/node/reports_test.go
+++ b/process/node/reports_test.go
@@ -10,6 +10,7 @@
 	"github.com/hyssopsill/hyssopsill/connection/health"
 	"github.com/hyssopsill/hyssopsill/request/attempt"
 	"github.com/hyssopsill/hyssopsill/request/poison"
+	"github.com/hyssopsill/hyssopsill/version/distribute"
 )
 
 func sampleReports() reports {
@@ -19,6 +20,7 @@
 		poison: []poison.Report{{Node: "n1", Digest: 99, Until: at, Cleared: at, Running: []string{"t3@n1"},
 			Crashes: []poison.CrashRecord{{Target: "t1@n2", Started: at, At: at}}}},
 		demand: map[uint32]float32{serviceHash("shop"): 12.5},
+		access: distribute.AccessLost,
 	}
 }
 
--- a/version/distribute/core.go
+++ b/version/distribute/core.go
@@ -42,6 +42,9 @@
 	Domain  string // failure domain
 	Address string // control address
 	Version int64  // configuration version last heard of
+	// Silent means that the node does not respond to this one, or is about to end.
+	Silent bool
+	Access Access // to the log service
 }
 
 // Options of a node. Values that are 0 get the default of the same name.
@@ -120,7 +123,7 @@
 	nextRead          time.Time
 	readStartedAt     time.Time // zero when no read of the log is in progress
 	logDown           bool      // the last read of the log failed or timed out
-	lastRead          time.Time // last successful read of the log
+	lastRead          time.Time // last read of the log that got a response
 	logReadToEnd      bool      // the log was read to its end
 	ready             bool
 	snapshotNeeded    bool      // the log has trimmed the next record, or the node has just started
@@ -192,22 +195,18 @@
 // rank returns this node's rank by rendezvous hash among its eligible peers, 0
 // for the first.
 func (c *Core) rank(salt string, eligible func(Peer) bool) int {
-	return Rank(salt, c.options.Node, c.peers, eligible)
-}
-
-// Rank returns a node's rank by rendezvous hash among its eligible peers, 0 for
-// the first.
-func Rank(salt, node string, peers []Peer, eligible func(Peer) bool) int {
-	score := func(node string) uint64 { return xxhash.Sum64String(salt + "/" + node) }
-	ownScore, rank := score(node), 0
-	for _, p := range peers {
-		if s := score(p.Node); eligible(p) && (s > ownScore || s == ownScore && p.Node < node) {
+	ownScore, rank := score(salt, c.options.Node), 0
+	for _, p := range c.peers {
+		if s := score(salt, p.Node); eligible(p) && (s > ownScore || s == ownScore && p.Node < c.options.Node) {
 			rank++
 		}
 	}
 	return rank
 }
 
+// score returns the rendezvous hash of a node for one duty.
+func score(salt, node string) uint64 { return xxhash.Sum64String(salt + "/" + node) }
+
 // IsReader reports whether the node is one of its failure domain's readers, which
 // read the log every ReadInterval.
 func (c *Core) IsReader() bool {
@@ -261,6 +260,9 @@
 func (c *Core) LogRead(now time.Time, page eventlog.Page, err error) []Action {
 	c.readStartedAt = time.Time{}
 	responded := err == nil || errors.Is(err, eventlog.ErrTrimmed) || errors.Is(err, eventlog.ErrRestored)
+	if responded {
+		c.lastRead = now
+	}
 	if responded && c.outdated(page.Era) {
 		return nil
 	}
@@ -281,7 +283,6 @@
 		}
 		return nil
 	}
-	c.lastRead = now
 	out := c.apply(config.RecordsOf(page), "")
 	if config.PositionOf(c.reading().Offset()).Offset+1 >= page.Next {
 		if c.restored != nil {
@@ -304,6 +305,7 @@
 	if c.logDown = err != nil; err != nil {
 		return nil
 	}
+	c.lastRead = now
 	offsetBefore := c.reading().Offset()
 	c.snapshotNeeded, c.snapshotReadAt = false, now
 	var out []Action
--- /dev/null
+++ b/version/distribute/readers.go
@@ -0,0 +1,96 @@
+package distribute
+
+// Access says whether a node can read the log service, which may turn some nodes away
+// while it serves others.
+type Access uint8
+
+const (
+	AccessUnknown Access = iota // no call has ended yet, or the node does not report it
+	AccessUsable                // the last call succeeded
+	AccessLost                  // the last call failed
+)
+
+func (a Access) String() string {
+	switch a {
+	case AccessUsable:
+		return "usable"
+	case AccessLost:
+		return "lost"
+	}
+	return "unknown"
+}
+
+// Readers chooses the nodes that read the log service. They are ranked by rendezvous
+// hash in each failure domain. A node that reports that it cannot read, or that this
+// node does not reach, does not count, so that the next one takes over.
+type Readers struct {
+	// Salt distinguishes the ranks of different duties.
+	Salt string
+	// PerDomain is the minimum number of readers in each failure domain.
+	PerDomain int
+	// Fleet is the number of readers in the fleet, in equal parts for its failure
+	// domains. A part below PerDomain has no effect. In a fleet of up to that many
+	// nodes, all are readers.
+	Fleet int
+
+	noHandover bool // for tests: choose by rank alone
+}
+
+// Role is what a node does to get the configuration from the log service.
+type Role struct {
+	Reader bool
+	// Needed means that fewer than PerDomain other nodes of the domain can read
+	// instead of this one, so that it retries a failed read soon.
+	Needed bool
+	// Position is the number of nodes of the domain that go before this one; below
+	// Quota, a node is a reader.
+	Position, Quota int
+}
+
+// Role returns the role of the node self among its peers.
+func (r Readers) Role(self Peer, peers []Peer) Role {
+	position, ownScore := 0, score(r.Salt, self.Node)
+	for _, p := range peers {
+		if p.Node == self.Node {
+			continue
+		}
+		if p.Domain != self.Domain || !r.counts(self, p) {
+			continue
+		}
+		if s := score(r.Salt, p.Node); r.goesBefore(self, p) || s > ownScore || s == ownScore && p.Node < self.Node {
+			position++
+		}
+	}
+	quota := r.quota(self.Domain, peers)
+	needed := position < r.PerDomain
+	return Role{Reader: needed || position < quota && (self.Access != AccessLost || r.noHandover), Needed: needed, Position: position, Quota: quota}
+}
+
+// quota returns the number of readers in each failure domain.
+func (r Readers) quota(ownDomain string, peers []Peer) int {
+	if r.Fleet <= r.PerDomain {
+		return r.PerDomain
+	}
+	if nodes := len(peers) + 1; nodes <= r.Fleet {
+		return nodes
+	}
+	domains := map[string]struct{}{ownDomain: {}}
+	for _, p := range peers {
+		domains[p.Domain] = struct{}{}
+	}
+	return max(r.PerDomain, (r.Fleet+len(domains)-1)/len(domains))
+}
+
+// counts reports whether a peer can have the duty. Nodes that cannot read rank among
+// themselves, so that not all of them retry during an outage.
+func (r Readers) counts(self, p Peer) bool {
+	if r.noHandover {
+		return true
+	}
+	return !p.Silent && (p.Access != AccessLost || self.Access == AccessLost)
+}
+
+// goesBefore reports whether a peer precedes this node whatever their ranks are.
+func (r Readers) goesBefore(self, p Peer) bool {
+	return !r.noHandover && self.Access == AccessLost && p.Access != AccessLost
+}
--- /dev/null
+++ b/version/distribute/readers_test.go
@@ -0,0 +1,72 @@
+package distribute
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+)
+
+// fleet returns the nodes of a fleet in equal failure domains.
+func fleet(nodes, domains int) []Peer {
+	var peers []Peer
+	for i := range nodes {
+		peers = append(peers, Peer{Node: fmt.Sprint("n", i), Domain: fmt.Sprint("d", i%domains), Access: AccessUsable})
+	}
+	return peers
+}
+
+// Guards against a fleet in which no node that can read has the duty once the reports
+// have spread, and against one in which far more nodes than needed have it.
+func TestReadersAreNodesThatCanRead(t *testing.T) {
+	readers := Readers{Salt: "test", PerDomain: 2, Fleet: 32}
+	for _, size := range []struct{ nodes, domains int }{{1, 1}, {24, 4}, {27, 3}, {81, 4}, {234, 6}, {790, 9}} {
+		for seed := range uint64(20) {
+			random := rand.New(rand.NewPCG(seed, uint64(size.nodes)))
+			peers := fleet(size.nodes, size.domains)
+			share := random.Float64()
+			for i := range peers {
+				if random.Float64() < share {
+					peers[i].Access = AccessLost
+				}
+			}
+			canRead, active, needed := 0, 0, 0
+			for _, self := range peers {
+				role := readers.Role(self, peers)
+				switch {
+				case self.Access != AccessLost:
+					canRead++
+					if role.Reader {
+						active++
+					}
+				case role.Needed:
+					needed++
+				}
+			}
+			quota := max(size.nodes/size.domains, 32/size.domains+1)
+			if want := min(canRead, 2); active < want || active > quota*size.domains || needed > 2*size.domains {
+				t.Errorf("%d nodes, seed %d: %d of %d nodes that can read are readers, %d others retry", size.nodes, seed, active, canRead, needed)
+			}
+		}
+	}
+}
+
+// Guards against a silent reader, such as a paused one, that keeps others from taking
+// over.
+func TestSilentReadersAreReplaced(t *testing.T) {
+	readers := Readers{Salt: "test", PerDomain: 2}
+	peers := fleet(10, 1)
+	for i := range peers {
+		if readers.Role(peers[i], peers).Reader {
+			peers[i].Silent = true
+		}
+	}
+	replacements := 0
+	for _, self := range peers {
+		if !self.Silent && readers.Role(self, peers).Reader {
+			replacements++
+		}
+	}
+	if replacements != 2 {
+		t.Errorf("%d nodes take over from two silent readers, want 2", replacements)
+	}
+}
--- a/version/document/core.go
+++ b/version/document/core.go
@@ -18,9 +18,14 @@
 	// node also forwards it to its successor by name, it reaches all but about 3 in
 	// 10,000, which learn of the version through membership and request it.
 	DefaultFanOut = 4
-	// DefaultReaders is the number of nodes in each failure domain that follow the
-	// log service. Not every node does, since calls to the service are paid for.
-	DefaultReaders = 2
+	// MinReaders is the minimum number of nodes in each failure domain that follow
+	// the log service.
+	MinReaders = 2
+	// FleetReaders is the number of nodes in a fleet that follow the log service. Not
+	// every node of a larger fleet does, since calls to the service are paid for and
+	// each reader gets each document. When the service turns three quarters of the
+	// nodes away, it turns all 32 away in 1 of 10,000 cases.
+	FleetReaders = 32
 	// requestInterval is the time between requests to peers for a newer document.
 	requestInterval = 300 * time.Millisecond
 )
@@ -67,6 +72,7 @@
 	config      *config.Config
 	data        []byte
 	peers       []distribute.Peer
+	access      distribute.Access // of this node to the log service
 	nextRequest time.Time
 }
 
@@ -91,13 +97,16 @@
 	c.peers = slices.DeleteFunc(slices.Clone(peers), func(p distribute.Peer) bool { return p.Node == c.options.Node })
 }
 
-// IsReader reports whether this node is one of those that follow the log service
-// in its failure domain.
-func (c *Core) IsReader() bool {
-	sameDomain := func(p distribute.Peer) bool { return p.Domain == c.options.Domain }
-	return distribute.Rank("document reader", c.options.Node, c.peers, sameDomain) < DefaultReaders
+var readers = distribute.Readers{Salt: "document reader", PerDomain: MinReaders, Fleet: FleetReaders}
+
+// Role returns whether this node follows the log service.
+func (c *Core) Role() distribute.Role {
+	return readers.Role(distribute.Peer{Node: c.options.Node, Domain: c.options.Domain, Access: c.access}, c.peers)
 }
 
+// SetAccess records whether this node can read the log service.
+func (c *Core) SetAccess(a distribute.Access) { c.access = a }
+
 // Offer puts a document in force if it is valid and newer. The error says why a
 // document was refused.
 //
