--- a/process/control/configuration.go
+++ b/process/control/configuration.go
@@ -35,6 +35,9 @@
 	Peers    func() ([]distribute.Peer, bool)
 	Random   *rand.Rand
 	Reporter invariant.Reporter
+	// OnAccess is called when the node begins or ceases to be able to read the log, with
+	// the lock of the service held: it must not call it. Default none.
+	OnAccess func(distribute.Access)
 }
 
 // Configuration runs a distribute.Core over the log and the control service. It
@@ -43,8 +46,9 @@
 	options ConfigurationOptions
 	calls   *callGroup
 
-	mu   sync.Mutex
-	core *distribute.Core
+	mu     sync.Mutex
+	core   *distribute.Core
+	access distribute.Access // last one reported
 }
 
 // NewConfiguration returns the service of one node.
@@ -88,6 +92,10 @@
 func (c *Configuration) withCore(fn func(*distribute.Core) []distribute.Action) {
 	c.mu.Lock()
 	actions := fn(c.core)
+	if access := c.core.Access(); access != c.access && c.options.OnAccess != nil {
+		c.access = access
+		c.options.OnAccess(access)
+	}
 	c.mu.Unlock()
 	for _, a := range actions {
 		if !c.calls.start(func(ctx context.Context) { c.runAction(ctx, a) }) {
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -314,6 +314,7 @@
 	return control.NewConfiguration(control.ConfigurationOptions{
 		Distribute: distribute.Options{Node: s.Node, Domain: s.Domain, OnConfig: n.setConfig, OnResult: n.logResult, OnEvent: n.logConfigEvent},
 		Log:        n.options.LogService, Client: n.client, Peers: n.fleet.peers, Random: newRand(), Reporter: n.metrics.Invariants,
+		OnAccess: n.fleet.setAccess,
 	})
 }
 
--- a/version/distribute/core.go
+++ b/version/distribute/core.go
@@ -26,6 +26,10 @@
 )
 
 const (
+	// overdueAfter is the time after which another node reads the log in place of one
+	// that waits for a response, so that a change is in force within 5 s.
+	overdueAfter = time.Second
+
 	// PageRecords is the number of records requested at once.
 	PageRecords = 500
 
@@ -55,7 +59,7 @@
 	// CheckInterval is the mean time between reads by any other node.
 	CheckInterval time.Duration
 	// Readers is the number of nodes per failure domain that read the log every
-	// ReadInterval.
+	// ReadInterval, see the type Readers.
 	Readers int
 	// FanOut is the number of peers to which a node forwards new records.
 	FanOut int
@@ -76,7 +80,7 @@
 
 	// Each switch turns one mechanism off, for the tests that show which failure
 	// it prevents.
-	noFanOut, noGapFill, noPeerStart, noNewerCheck, noRewrite bool
+	noFanOut, noGapFill, noPeerStart, noNewerCheck, noRewrite, noHandover bool
 }
 
 // Kind is the kind of an Action.
@@ -123,6 +127,7 @@
 	nextRead          time.Time
 	readStartedAt     time.Time // zero when no read of the log is in progress
 	logDown           bool      // the last read of the log failed or timed out
+	readOverdue       bool      // the read in progress takes longer than overdueAfter
 	lastRead          time.Time // last read of the log that got a response
 	logReadToEnd      bool      // the log was read to its end
 	ready             bool
@@ -210,7 +215,19 @@
 // IsReader reports whether the node is one of its failure domain's readers, which
 // read the log every ReadInterval.
 func (c *Core) IsReader() bool {
-	return c.rank("reader", func(p Peer) bool { return p.Domain == c.options.Domain }) < c.options.Readers
+	readers := Readers{Salt: "reader", PerDomain: c.options.Readers, noHandover: c.options.noHandover}
+	return readers.Role(Peer{Node: c.options.Node, Domain: c.options.Domain, Access: c.Access()}, c.peers).Reader
+}
+
+// Access returns whether this node can read the log.
+func (c *Core) Access() Access {
+	switch {
+	case c.logDown || c.readOverdue:
+		return AccessLost
+	case c.lastRead.IsZero():
+		return AccessUnknown
+	}
+	return AccessUsable
 }
 
 func (c *Core) isSnapshotWriter() bool {
@@ -226,6 +243,10 @@
 	if !c.readStartedAt.IsZero() && now.Sub(c.readStartedAt) >= c.options.ResponseTimeout {
 		c.logDown, c.readStartedAt = true, time.Time{}
 	}
+	c.readOverdue = !c.readStartedAt.IsZero() && now.Sub(c.readStartedAt) >= overdueAfter
+	if c.nextRead.Sub(now) > c.options.ReadInterval && c.IsReader() {
+		c.nextRead = now // became a reader since the last read
+	}
 	if c.readStartedAt.IsZero() && !now.Before(c.nextRead) {
 		out = c.startRead(now, out)
 	}
--- a/version/distribute/core_test.go
+++ b/version/distribute/core_test.go
@@ -38,12 +38,21 @@
 	*Core
 	peer          Peer
 	knownVersions map[string]int64
+	knownAccess   map[string]accessReport
+	reported      Access // last urgent report
 	pausedUntil   time.Time
 	stopped       bool
+	turnedAway    bool // the log does not respond to this node
 
 	fixedPeers bool // keep the peers that the test has set
 }
 
+// accessReport is what a node reported about its access to the log.
+type accessReport struct {
+	at     time.Time
+	access Access
+}
+
 // violations is an invariant reporter that counts the failed checks.
 type violations struct{ count int }
 
@@ -56,16 +65,17 @@
 // sim runs cores against the stand-in log in virtual time. Calls between nodes
 // take 20 ms, calls to the log take logDelay.
 type sim struct {
-	now         time.Time
-	random      *rand.Rand
-	log         *logservice.Service
-	logState    *config.State // gives append the base version of each change
-	logDelay    time.Duration
-	nodes       []*simNode
-	partitioned func(a, b *simNode) bool
-	options     Options
-	events      []event
-	violations  violations
+	now          time.Time
+	random       *rand.Rand
+	reportRandom *rand.Rand
+	log          *logservice.Service
+	logState     *config.State // gives append the base version of each change
+	logDelay     time.Duration
+	nodes        []*simNode
+	partitioned  func(a, b *simNode) bool
+	options      Options
+	events       []event
+	violations   violations
 }
 
 type event struct {
@@ -74,7 +84,7 @@
 }
 
 func newSim(seed uint64, nodes int, o Options) *sim {
-	s := &sim{now: epoch, random: rand.New(rand.NewPCG(seed, 3)), options: o, logState: config.NewState()}
+	s := &sim{now: epoch, random: rand.New(rand.NewPCG(seed, 3)), reportRandom: rand.New(rand.NewPCG(seed, 5)), options: o, logState: config.NewState()}
 	s.log = logservice.New(logservice.Options{Now: func() time.Time { return s.now }})
 	for i := range nodes {
 		s.add(fmt.Sprintf("node-%02d", i), fmt.Sprintf("%c%d", 'a'+i%3, i/3%3))
@@ -85,7 +95,7 @@
 func (s *sim) add(name, domain string) *simNode {
 	o := s.options
 	o.Node, o.Domain = name, domain
-	n := &simNode{peer: Peer{Node: name, Domain: domain, Address: name}, knownVersions: map[string]int64{}}
+	n := &simNode{peer: Peer{Node: name, Domain: domain, Address: name}, knownVersions: map[string]int64{}, knownAccess: map[string]accessReport{}}
 	n.Core = New(o, rand.New(rand.NewPCG(s.random.Uint64(), 4)), &s.violations)
 	s.nodes = append(s.nodes, n)
 	return n
@@ -118,21 +128,51 @@
 			if (int(s.now.Sub(epoch)/(100*time.Millisecond))+i)%10 == 0 {
 				s.gossip(n)
 			}
+			s.report(n)
 			s.perform(n, n.Tick(s.now))
 		}
 	}
 }
 
-// gossip simulates membership: the node learns one peer's version each second.
+// urgentReportPeers is the number of peers that membership sends an urgent report to,
+// in three rounds of four.
+const urgentReportPeers = 12
+
+// report simulates the urgent report of a changed access to the log.
+func (s *sim) report(n *simNode) {
+	if n.Access() == n.reported {
+		return
+	}
+	n.reported = n.Access()
+	for range urgentReportPeers {
+		if p := s.nodes[s.reportRandom.IntN(len(s.nodes))]; s.canReach(n, p) {
+			p.knownAccess[n.peer.Node] = accessReport{s.now, n.reported}
+			s.setPeers(p)
+		}
+	}
+}
+
+// gossip simulates membership: each second the node learns one peer's version, and what
+// that peer knows of the access of the nodes to the log.
 func (s *sim) gossip(n *simNode) {
 	if p := s.nodes[s.random.IntN(len(s.nodes))]; s.canReach(n, p) {
 		n.knownVersions[p.peer.Node], _ = p.Version()
+		n.knownAccess[p.peer.Node] = accessReport{s.now, p.Access()}
+		for node, report := range p.knownAccess {
+			if report.at.After(n.knownAccess[node].at) {
+				n.knownAccess[node] = report
+			}
+		}
 	}
+	s.setPeers(n)
+}
+
+func (s *sim) setPeers(n *simNode) {
 	var peers []Peer
 	for _, p := range s.nodes {
 		if !p.stopped && (s.partitioned == nil || !s.partitioned(n, p)) {
 			peer := p.peer
-			peer.Version = n.knownVersions[peer.Node]
+			peer.Version, peer.Access = n.knownVersions[peer.Node], n.knownAccess[peer.Node].access
 			peers = append(peers, peer)
 		}
 	}
@@ -160,6 +200,9 @@
 func (s *sim) perform(n *simNode, actions []Action) {
 	ctx := context.Background()
 	for _, a := range actions {
+		if n.turnedAway && slices.Contains([]Kind{ReadLog, ReadSnapshot, WriteSnapshot, AppendChange}, a.Kind) {
+			continue // the call times out
+		}
 		switch a.Kind {
 		case ReadLog:
 			page, err := s.log.Read(ctx, eventlog.StreamConfig, a.After+1, PageRecords)
--- a/version/distribute/readers_test.go
+++ b/version/distribute/readers_test.go
@@ -4,8 +4,36 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 )
 
+// Guards against a change that stays unread while the log serves only three nodes that
+// are not ranked as readers.
+func TestChangeIsReadWhenReadersAreTurnedAway(t *testing.T) {
+	testWithAndWithout(t, Options{noHandover: true}, func(t *testing.T, o Options) bool {
+		slowest := time.Duration(0)
+		for seed := range uint64(10) {
+			s := newSim(seed, 40, o)
+			s.append(t, "first")
+			s.run(time.Minute)
+			served := 0
+			for _, n := range s.nodes {
+				n.turnedAway = n.IsReader() || served == 3
+				if !n.turnedAway {
+					served++
+				}
+			}
+			version, publishedAt := s.append(t, "second"), s.now
+			for s.run(100 * time.Millisecond); len(s.nodesBehind(version)) > 0 && s.now.Sub(publishedAt) < time.Minute; {
+				s.run(100 * time.Millisecond)
+			}
+			slowest = max(slowest, s.now.Sub(publishedAt))
+		}
+		t.Logf("slowest of 10 changes in force after %s", slowest)
+		return slowest > 5*time.Second
+	})
+}
+
 // fleet returns the nodes of a fleet in equal failure domains.
 func fleet(nodes, domains int) []Peer {
 	var peers []Peer
