--- a/version/distribute/core.go
+++ b/version/distribute/core.go
@@ -140,9 +140,11 @@
 	snapshotOffset    int64     // up to which the newest known snapshot covers the log
 	snapshotKnownAt   time.Time // when the node learned of that snapshot; the first tick when there is none
 	nextSnapshotWrite time.Time
-	writingSnapshot   bool
-	cachedSnapshot    []byte // encoded state, kept for peers
-	cachedOffset      int64  // offset of cachedSnapshot
+	// since when this node is the first that can write snapshots, but not by rank
+	snapshotStandInSince time.Time
+	writingSnapshot      bool
+	cachedSnapshot       []byte // encoded state, kept for peers
+	cachedOffset         int64  // offset of cachedSnapshot
 }
 
 // domainFetch is the state of a new node's snapshot requests to the peers of one
@@ -230,8 +232,23 @@
 	return AccessUsable
 }
 
-func (c *Core) isSnapshotWriter() bool {
-	return c.rank("snapshot", func(Peer) bool { return true }) == 0
+// isSnapshotWriter reports whether this node writes the snapshots that are due: the
+// first by rank, or the first of those that can use the log once that has been so for
+// snapshotRetryInterval, as other nodes' reports may be late.
+func (c *Core) isSnapshotWriter(now time.Time) bool {
+	first := c.rank("snapshot", func(Peer) bool { return true }) == 0
+	if first || c.options.noHandover {
+		return first
+	}
+	canWrite := func(p Peer) bool { return !p.Silent && p.Access != AccessLost }
+	if c.Access() == AccessLost || c.rank("snapshot", canWrite) > 0 {
+		c.snapshotStandInSince = time.Time{}
+		return false
+	}
+	if c.snapshotStandInSince.IsZero() {
+		c.snapshotStandInSince = now
+	}
+	return now.Sub(c.snapshotStandInSince) >= snapshotRetryInterval
 }
 
 // Tick returns the calls that are due. The I/O layer calls it every 100 ms.
@@ -571,7 +588,7 @@
 	}
 	offset := c.state.Offset()
 	due := now.Sub(c.snapshotKnownAt) >= c.options.SnapshotInterval || offset-c.snapshotOffset >= c.options.SnapshotChanges
-	if !due || c.restored != nil || c.writingSnapshot || offset == 0 || !c.Ready() || now.Before(c.nextSnapshotWrite) || !c.isSnapshotWriter() {
+	if !due || c.restored != nil || c.writingSnapshot || offset == 0 || !c.Ready() || now.Before(c.nextSnapshotWrite) || !c.isSnapshotWriter(now) {
 		return out
 	}
 	data := c.Snapshot(0)
--- a/version/distribute/readers_test.go
+++ b/version/distribute/readers_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/hyssopsill/hyssopsill/eventlog"
 )
 
 // Guards against a change that stays unread while the log serves only three nodes that
@@ -34,6 +36,30 @@
 	})
 }
 
+// Guards against snapshots that nobody writes while the node ranked first cannot use
+// the log.
+func TestSnapshotIsWrittenWhenFirstWriterIsTurnedAway(t *testing.T) {
+	testWithAndWithout(t, Options{noHandover: true}, func(t *testing.T, o Options) bool {
+		o.SnapshotChanges = 5
+		s := newSim(4, 12, o)
+		s.append(t, "first")
+		s.run(time.Minute)
+		for _, n := range s.nodes {
+			n.turnedAway = n.isSnapshotWriter(s.now)
+		}
+		for i := range 6 {
+			s.append(t, fmt.Sprint("change", i))
+			s.run(time.Second)
+		}
+		s.run(2 * time.Minute)
+		page, err := s.log.Read(t.Context(), eventlog.StreamSnapshots, 1, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(page.Records) == 0
+	})
+}
+
 // fleet returns the nodes of a fleet in equal failure domains.
 func fleet(nodes, domains int) []Peer {
 	var peers []Peer
