connection/targetlimit, admission, gate: a target gets no more than the rate that it names

Nothing read the header: the gate admitted by slots only, which were free.

The gate, which alone sends to its target, now paces the starts with a token bucket at the named rate. Work waits for it as for a slot, orders first, or is refused at once with the time after which it can start. The reported load has no free slot while a request would wait. Probes count. A response without the header ends the limit only if its request was sent after the last one that named it. New records of kind limit.

--- a/bench/gate.go
+++ b/bench/gate.go
@@ -133,7 +133,7 @@
 }
 
 func (g *gateModel) reply(a *attemptModel, verdict attempt.Verdict, reason attempt.Reason, status int) {
-	load := g.controller.Load(g.target.id)
+	load := g.controller.Load(g.fleet.sim.now, g.target.id)
 	entry := a.state.entry
 	serviceTime := time.Duration(0)
 	if !a.startedAt.IsZero() {
--- a/connection/admission/controller.go
+++ b/connection/admission/controller.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -153,7 +154,7 @@
 // infeasible returns the reason why work that starts after wait cannot end
 // before its deadline, or ReasonNone. It never refuses work on an idle target
 // because of an estimate alone, so that a wrong estimate is corrected by the
-// next run.
+// next run. On a target that names its rate, the wait is no estimate.
 func (c *Controller) infeasible(now time.Time, t *target, sub *submission, wait time.Duration) attempt.Reason {
 	deadline := sub.work.Deadline
 	if deadline.IsZero() {
@@ -162,7 +163,8 @@
 	if !c.options.noDeadline && !now.Before(deadline) {
 		return attempt.ReasonDeadline
 	}
-	if !c.options.noFeasibilityCheck && t.running > 0 && now.Add(wait+sub.class.expectedServiceTime(now)).After(deadline) {
+	_, limited := t.rate.Rate()
+	if !c.options.noFeasibilityCheck && (t.running > 0 || limited) && now.Add(wait+sub.class.expectedServiceTime(now)).After(deadline) {
 		return attempt.ReasonOverload
 	}
 	return attempt.ReasonNone
@@ -300,7 +302,7 @@
 	if c.options.noSlotCheck {
 		return true
 	}
-	if t.running >= c.limit(t) {
+	if t.running >= c.limit(t) || t.rate.Available(now) == 0 {
 		return false
 	}
 	return !long || c.options.noReserve || t.admitsLong(now, c.limit(t), c.options.BorrowAfter)
@@ -321,6 +323,7 @@
 	c.reporter.Check(invariant.NotRun, !sub.refused, "work %d starts on %s after its refusal", sub.ticket, t.ID)
 	c.reporter.Check(invariant.NotRun, deadline.IsZero() || now.Before(deadline), "work %d starts on %s after its deadline", sub.ticket, t.ID)
 	t.recordStart(now, sub)
+	t.rate.Take(now)
 	c.reporter.Check(SlotsExceeded, t.running <= t.Slots || t.slotsLowered, "target %s runs %d of %d slots", t.ID, t.running, t.Slots)
 	return Decision{Kind: Started, Ticket: sub.ticket, Work: sub.work, Wait: now.Sub(sub.queuedAt)}
 }
@@ -398,7 +401,7 @@
 	if !(leaving && !c.options.noDrainCheck) && !(expired && !c.options.noDeadline) {
 		c.reporter.Check(invariant.Leaving, !leaving, "work %d is sent to draining target %s", ticket, sub.work.Target)
 		c.reporter.Check(invariant.NotRun, !expired, "work %d is sent to %s after its deadline", ticket, sub.work.Target)
-		sub.started = now
+		sub.started, sub.confirmed = now, true
 		return true, nil
 	}
 	return false, c.releaseSlot(now, sub)
@@ -427,11 +430,48 @@
 	if t == nil {
 		return nil
 	}
+	if !sub.confirmed && sub.generation == t.generation {
+		t.rate.Return(now)
+	}
 	t.recordEnd(sub)
 	c.removeIfIdle(t)
 	return c.dispatch(now, t)
 }
 
+// ObserveRate records the rate in requests/s that a target names in its response to a
+// request sent at sentAt; named is false without one. It reports whether the limit
+// changed, and returns the decisions on waiting work.
+func (c *Controller) ObserveRate(now time.Time, id string, sentAt time.Time, rate float64, named bool) (bool, []Decision) {
+	t := c.targets[id]
+	if t == nil || !t.rate.Observe(now, sentAt, rate, named) {
+		return false, nil
+	}
+	return true, c.dispatch(now, t)
+}
+
+// AdoptRate takes over the rate of a target that an entry knows, unless this node has
+// a response of the target. It reports whether the limit changed.
+func (c *Controller) AdoptRate(now time.Time, id string, rate float64) bool {
+	t := c.targets[id]
+	return t != nil && t.rate.Adopt(now, rate)
+}
+
+// Rate returns the rate in requests/s that a target names. It is false without one.
+func (c *Controller) Rate(id string) (float64, bool) {
+	if t := c.targets[id]; t != nil {
+		return t.rate.Rate()
+	}
+	return 0, false
+}
+
+// CountRequest counts a request to a target that is not admitted as work, such as a
+// probe, towards its rate.
+func (c *Controller) CountRequest(now time.Time, id string) {
+	if t := c.targets[id]; t != nil {
+		t.rate.Take(now)
+	}
+}
+
 // Cancel ends waiting work, which then never runs, and returns the decisions on
 // other waiting work. Running work keeps its slot until Finish.
 func (c *Controller) Cancel(now time.Time, ticket Ticket) []Decision {
@@ -466,15 +506,33 @@
 }
 
 // Load returns the load of a target, which the gate reports in a response header.
-func (c *Controller) Load(id string) attempt.Load {
+func (c *Controller) Load(now time.Time, id string) attempt.Load {
 	t := c.targets[id]
 	if t == nil {
 		return attempt.Load{}
 	}
-	return attempt.Load{Slots: t.Slots, Limit: c.limit(t), Running: t.running, Queued: len(t.queue),
+	return attempt.Load{Slots: t.Slots, Limit: c.usableSlots(now, t), Running: t.running, Queued: len(t.queue),
 		RunningLong: t.runningLong, QueuedLong: t.queuedLong}
 }
 
+// usableSlots returns the concurrency limit or, on a target that names its rate, the
+// number of requests that it has in progress at that rate. None is free while a request
+// would have to wait for the rate.
+func (c *Controller) usableSlots(now time.Time, t *target) int {
+	limit := c.limit(t)
+	rate, limited := t.rate.Rate()
+	if !limited {
+		return limit
+	}
+	if t.shortServiceTime.known {
+		limit = max(1, min(limit, int(math.Ceil(rate*t.shortServiceTime.value))))
+	}
+	if t.rate.Available(now) == 0 {
+		limit = min(limit, t.running)
+	}
+	return limit
+}
+
 // ExpectedServiceTime returns the average service time of a class at a target, or
 // 0 when it is unknown.
 func (c *Controller) ExpectedServiceTime(id, class string, long bool) time.Duration {
--- a/connection/admission/controller_test.go
+++ b/connection/admission/controller_test.go
@@ -48,7 +48,7 @@
 		if ok != testCase.want || len(violations) != testCase.violations {
 			t.Errorf("%s: confirmed %v with violations %q, want %v and %d", testCase.name, ok, violations, testCase.want, testCase.violations)
 		}
-		if load := controller.Load("t"); !ok && load.Running != 0 {
+		if load := controller.Load(now, "t"); !ok && load.Running != 0 {
 			t.Errorf("%s: slot is not freed: %+v", testCase.name, load)
 		}
 	}
@@ -89,7 +89,7 @@
 		now, lowest := epoch, 12
 		var running []Ticket
 		step := func(service time.Duration) {
-			for len(running) < controller.Load("t").Limit {
+			for len(running) < controller.Load(now, "t").Limit {
 				running = append(running, controller.Submit(now, Work{Target: "t"}).Ticket)
 			}
 			duration := time.Duration(float64(service) * math.Pow(max(1, float64(len(running))/6), 3))
@@ -98,7 +98,7 @@
 				controller.Finish(now, id, Result{OK: true})
 			}
 			running = running[:0]
-			lowest = min(lowest, controller.Load("t").Limit)
+			lowest = min(lowest, controller.Load(now, "t").Limit)
 			worst = max(worst, duration)
 		}
 		for range 100 { // one request at a time shows the minimum latency
@@ -121,7 +121,7 @@
 			now = now.Add(10 * time.Millisecond)
 			controller.Finish(now, d.Ticket, Result{OK: true})
 		}
-		return congested, controller.Load("t").Limit, worst
+		return congested, controller.Load(now, "t").Limit, worst
 	}
 	lowest, after, _ := simulate(Options{})
 	withoutAdaptation, _, _ := simulate(Options{noLimitAdaptation: true})
@@ -164,7 +164,7 @@
 		t.Fatalf("new process: %+v", d)
 	}
 	controller.Finish(epoch, old.Ticket, Result{})
-	if load := controller.Load("t"); load.Running != 1 {
+	if load := controller.Load(epoch, "t"); load.Running != 1 {
 		t.Errorf("load %+v after old work ended, want 1 running", load)
 	}
 	controller.Drain(epoch, "t")
--- a/connection/admission/model_test.go
+++ b/connection/admission/model_test.go
@@ -175,7 +175,7 @@
 func (m *model) checkStart(t *modelTarget, w *modelWork) {
 	before := m.count(t, "running", "")
 	w.state, w.generation = "running", t.generation
-	limit := m.controller.Load(t.ID).Limit
+	limit := m.controller.Load(m.now, t.ID).Limit
 	if before >= t.Slots {
 		m.violationf("%s starts work with %d of %d slots taken", t.ID, before, t.Slots)
 	}
@@ -193,7 +193,7 @@
 func (m *model) checkLoad() {
 	for i := range m.targets {
 		t := &m.targets[i]
-		load := m.controller.Load(t.ID)
+		load := m.controller.Load(m.now, t.ID)
 		if running, queued := m.count(t, "running", ""), m.count(t, "queued", ""); load.Running != running || load.Queued != queued {
 			m.violationf("%s: load %+v, want %d running and %d queued", t.ID, load, running, queued)
 		}
--- a/connection/admission/sim_test.go
+++ b/connection/admission/sim_test.go
@@ -117,7 +117,7 @@
 }
 
 func (s *sim) load(id string) float64 {
-	load := s.controller.Load(id)
+	load := s.controller.Load(epoch.Add(s.now), id)
 	return float64(load.Running+load.Queued) / float64(load.Limit)
 }
 
--- a/connection/admission/target.go
+++ b/connection/admission/target.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/hyssopsill/hyssopsill/connection/targetlimit"
 )
 
 // peakDecayTime is the time in which the peak of short work decays to 1/e. It
@@ -40,6 +42,7 @@
 	queue        []*submission
 	queuedLong   int
 	limit        float64 // concurrency limit, from floor() to Slots
+	rate         targetlimit.Limiter
 
 	classes          map[classKey]*classState
 	shortServiceTime average
@@ -72,6 +75,7 @@
 	t.draining, t.removed = false, false
 	t.running, t.runningLong = 0, 0
 	t.limit = math.MaxFloat64 // SetTarget lowers it to the slots
+	t.rate = targetlimit.Limiter{}
 	t.classes = map[classKey]*classState{}
 	t.shortServiceTime, t.longServiceTime = average{}, average{}
 	for _, sub := range t.queue {
@@ -335,15 +339,18 @@
 }
 
 // expectedWait estimates the time until waiting work starts: the work ahead of
-// it, divided by the rate at which slots for it become free. Of each other
-// customer of equal priority it counts only about as much work as its own
-// customer has waiting.
+// it, divided by the rate at which slots for it become free or, if that is longer, at
+// which the target takes requests. Of each other customer of equal priority it counts
+// only about as much work as its own customer has waiting.
 func (t *target) expectedWait(now time.Time, sub *submission) time.Duration {
-	ahead := 0
+	ahead, otherKind := 0, 0 // otherKind: long work before short work, or the reverse
 	for _, other := range t.queue {
 		other.customer.countedAhead = 0
 	}
 	for _, other := range t.queue {
+		if other != sub && other.long != sub.long && other.priority <= sub.priority {
+			otherKind++
+		}
 		if other == sub || other.long != sub.long || other.priority > sub.priority || (other.priority == sub.priority && other.brief != sub.brief) {
 			continue // starts later, or takes no time
 		}
@@ -359,5 +366,6 @@
 	if sub.long {
 		mean, slots = t.longServiceTime, max(1, t.longShare(now, int(t.limit)))
 	}
-	return time.Duration(float64(ahead+1) * mean.value * float64(time.Second) / float64(slots))
+	wait := time.Duration(float64(ahead+1) * mean.value * float64(time.Second) / float64(slots))
+	return max(wait, t.rate.Wait(now, ahead+otherKind+1))
 }
--- a/connection/admission/types.go
+++ b/connection/admission/types.go
@@ -156,6 +156,7 @@
 	queuedAt   time.Time
 	started    time.Time
 	running    bool
+	confirmed  bool // Confirm allowed it to be sent
 	refused    bool
 	brief      bool // see target.isBrief
 	generation int  // generation of the target in which it started
--- a/process/entry/attempt.go
+++ b/process/entry/attempt.go
@@ -264,6 +264,9 @@
 	if a.allowLate {
 		fields = append(fields, roundtrip.Field{Name: attempt.HeaderAllowLate, Value: "1"})
 	}
+	if rate := q.entry.rateOf(a.target); rate != "" {
+		fields = append(fields, roundtrip.Field{Name: attempt.HeaderTargetRate, Value: rate})
+	}
 	if share := q.entry.options.HostRetryShare(); share > 0 {
 		fields = append(fields, roundtrip.Field{Name: attempt.HeaderCallerRetries, Value: strconv.FormatFloat(share, 'f', 3, 64)})
 	}
@@ -308,6 +311,7 @@
 		a.load = load
 		now := a.request.entry.now()
 		a.request.entry.selector.ObserveLoad(now, a.target.key, load)
+		a.request.entry.observeRate(now, a.target, h.Get(attempt.HeaderTargetRate))
 		if h.Get(attempt.HeaderHint) == "0" {
 			a.request.entry.health.Observe(now, health.Evidence{Kind: health.Hint, Target: a.target.key, Node: a.target.member.Node})
 		}
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -96,6 +96,7 @@
 	meanSizes      map[string]float64 // mean bytes of an exchange, by route
 	lastProbes     map[string]time.Time
 	failingUntil   map[string]time.Time // when a target that its gate reported as failing is used again
+	targetRates    map[string]targetRate
 }
 
 // Limits of the connections to gates.
@@ -147,6 +148,7 @@
 		lastProbes:     map[string]time.Time{},
 		meanSizes:      map[string]float64{},
 		failingUntil:   map[string]time.Time{},
+		targetRates:    map[string]targetRate{},
 	}
 	e.bindings = newBindings(e, order.Owner{Node: o.Node})
 	e.stopping, e.cancelWaiting = context.WithCancel(context.Background())
--- a/process/entry/fleet.go
+++ b/process/entry/fleet.go
@@ -159,6 +159,7 @@
 		services[target.info.Service] = true
 	}
 	e.mu.Lock()
+	maps.DeleteFunc(e.targetRates, func(_ string, r targetRate) bool { return now.Sub(r.at) >= rateMemory })
 	e.selector.SetCandidates(now, candidates)
 	var infos []health.TargetInfo
 	for service := range services {
--- a/process/gate/exchange.go
+++ b/process/gate/exchange.go
@@ -80,6 +80,7 @@
 		return
 	}
 	e.observeCaller()
+	e.adoptRate()
 	if !e.chargeRetryBudget() || !e.admit() {
 		e.releaseTrial()
 		return
@@ -320,6 +321,7 @@
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
+	e.observeTargetHeader(resp.Header)
 	e.forwardResponse(ctx, address, incarnation, resp)
 }
 
@@ -451,7 +453,8 @@
 // and the service time of the attempt.
 func (e *exchange) setLoadHeaders(h http.Header) {
 	e.gate.mu.Lock()
-	load := e.gate.admission.Load(e.targetID)
+	load := e.gate.admission.Load(e.gate.now(), e.targetID)
+	rate, limited := e.gate.admission.Rate(e.targetID)
 	serviceTime := e.serviceTime(e.gate.now())
 	t := e.gate.targets[e.targetID]
 	unhealthy := t != nil && t.unhealthy
@@ -459,6 +462,9 @@
 	if load.Slots > 0 {
 		h[attempt.HeaderLoad] = []string{load.String()}
 	}
+	if limited {
+		h[attempt.HeaderTargetRate] = []string{formatRate(rate)}
+	}
 	if unhealthy {
 		h[attempt.HeaderHint] = []string{"0"}
 	}
--- a/process/gate/health_endpoint.go
+++ b/process/gate/health_endpoint.go
@@ -30,6 +30,7 @@
 }
 
 func (g *Gate) readHealthEndpoint(ctx context.Context, t *target, u *url.URL) {
+	g.countProbe(g.now(), t.ID)
 	result := g.probeTarget(ctx, u.Host, u.RequestURI())
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/process/gate/peer.go
+++ b/process/gate/peer.go
@@ -220,6 +220,7 @@
 	if recent {
 		return result
 	}
+	g.countProbe(g.now(), t.ID)
 	result = g.probeTarget(context.Background(), address, path)
 	g.mu.Lock()
 	t.lastProbe, t.probedAt = result, g.now()
--- a/process/gate/targets.go
+++ b/process/gate/targets.go
@@ -169,7 +169,7 @@
 }
 
 func (g *Gate) status(t *target) AnnounceStatus {
-	load := g.admission.Load(t.ID)
+	load := g.admission.Load(g.now(), t.ID)
 	return AnnounceStatus{Target: t.Target, Running: t.running, Queued: load.Queued}
 }
 
--- a/request/attempt/headers.go
+++ b/request/attempt/headers.go
@@ -11,6 +11,7 @@
 	HeaderOutcome        = "Hyssopsill-Outcome"
 	HeaderTimeoutMS      = "Hyssopsill-Timeout-Ms" // time left until the deadline, milliseconds
 	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderTakesRate      = "Target-Rate" // requests/s that a target in need takes
 )
 
 // Headers between entry and gate. Callers and targets never see them.
@@ -28,6 +29,7 @@
 	HeaderHint              = "Hyssopsill-Hint"       // "0": the target's own health endpoint reports a fault
 	HeaderServiceTime       = "Hyssopsill-Service-Us" // time at the target without queueing, microseconds
 	HeaderTargetIncarnation = "Hyssopsill-Target-Incarnation"
+	HeaderTargetRate        = "Hyssopsill-Target-Rate" // requests/s that the target takes, as its last response named it
 	HeaderRequestDigest     = "Hyssopsill-Request-Digest"
 	HeaderOrder             = "Hyssopsill-Order"          // identity, owner and times of the order key
 	HeaderIdempotent        = "Hyssopsill-Idempotent"     // "1": the attempt may run again and is never withdrawn
--- a/request/attempt/http_profile.go
+++ b/request/attempt/http_profile.go
@@ -26,6 +26,9 @@
 	// ResponseSignature marks a response as the target's own. A response without it
 	// is not forwarded.
 	ResponseSignature string
+	// TargetRate carries, in responses of a target in need, the requests/s that it takes
+	// from all nodes together, as a decimal number.
+	TargetRate string
 	// CallerRequestIDs is set when callers choose the RequestID and targets echo it.
 	CallerRequestIDs bool
 	// StrictStatus is set when callers take 429 and 503 to mean that the work did
@@ -41,6 +44,7 @@
 // DefaultHTTPProfile holds the project's own header fields.
 var DefaultHTTPProfile = HTTPProfile{
 	RequestID: HeaderRequestID, Timeout: HeaderTimeoutMS, Outcome: HeaderOutcome, OrderKey: HeaderIdempotencyKey,
+	TargetRate: HeaderTakesRate,
 }
 
 // IsFleetHeader reports whether the fleet sets the header field, so that it is not
--- a/request/fallback/crest_test.go
+++ b/request/fallback/crest_test.go
@@ -227,7 +227,7 @@
 }
 
 func (c *crest) load(t *crestTarget) int {
-	load := c.controller.Load(t.id)
+	load := c.controller.Load(c.time(), t.id)
 	return load.Running + load.Queued
 }
 
--- a/request/record/record.go
+++ b/request/record/record.go
@@ -19,6 +19,7 @@
 	KindMembership Kind = "membership"
 	KindPause      Kind = "pause"
 	KindFailing    Kind = "failing"    // a gate found that its target fails, or is healthy again
+	KindLimit      Kind = "limit"      // a target names the rate of requests that it takes, or names none any more
 	KindDependency Kind = "dependency" // a service that the node uses was lost or is usable again
 	KindGap        Kind = "gap"        // records were dropped; Count is their number
 )
--- a/request/record/sentence.go
+++ b/request/record/sentence.go
@@ -148,6 +148,8 @@
 		s = fmt.Sprintf("The state of node %s changed", subject)
 	case KindFailing:
 		s = fmt.Sprintf("The gate changed the state of target %s", subject)
+	case KindLimit:
+		s = fmt.Sprintf("The limit of target %s changed", subject)
 	case KindDependency:
 		s = fmt.Sprintf("The state of %s changed", subject)
 	case KindPause:
--- a/standin/target/faults.go
+++ b/standin/target/faults.go
@@ -35,6 +35,8 @@
 	// Shed is the number of running requests from which on further ones get
 	// status 503. 0: no limit.
 	Shed int `json:"shed,omitempty"`
+	// TakesRate, unless 0, is the rate in requests/s that each response names.
+	TakesRate float64 `json:"takes_rate,omitempty"`
 	// RepeatOrders is the number of further orders with a key that run twice.
 	RepeatOrders int `json:"repeat_orders,omitempty"`
 }
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -135,6 +135,9 @@
 // bytes/s.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	faults, flapDown := t.currentFaults()
+	if faults.TakesRate > 0 {
+		w.Header().Set(attempt.HeaderTakesRate, strconv.FormatFloat(faults.TakesRate, 'f', -1, 64))
+	}
 	if r.URL.Path == "/healthz" {
 		t.serveHealth(w, faults, flapDown)
 		return
