process/gate, process/entry: a target that says in an answer that it leaves gets no new work

An instance that leaves may say so in its answers before, or without, a heartbeat that does. Nothing read that header: requests that came later than drainMs after such an answer reached the instance.

The gate now treats it like a withdrawal of that process. Entries that passed on such an answer remember it for 10 min, since the gate may restart and learn of the instance from a heartbeat that does not say so.

TestInstanceThatSaysItLeavesGetsNoRequests failed before: the leaving instance got 26 of 40 requests; without the memory of the entries it fails after the restart.

--- a/process/entry/attempt.go
+++ b/process/entry/attempt.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -216,6 +217,9 @@
 	if complete {
 		_ = resp.Body.Close()
 	}
+	if name := a.request.entry.options.HTTPProfile.TargetLeaving; name != "" && strings.TrimSpace(h.Get(name)) == "1" {
+		a.request.entry.noteLeaving(a.target)
+	}
 	r := result{verdict: verdict, status: resp.StatusCode, resp: resp, buffered: buffered, streamed: !complete}
 	r.fault = health.FaultOf(verdict, attempt.ReasonNone, resp.StatusCode)
 	return r
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -97,6 +97,9 @@
 	lastProbes     map[string]time.Time
 	failingUntil   map[string]time.Time // when a target that its gate reported as failing is used again
 	targetRates    map[string]targetRate
+
+	viewMu  sync.Mutex // taken before mu; guards the replacement of fleet
+	leaving leavingTargets
 }
 
 // Limits of the connections to gates.
@@ -149,10 +152,11 @@
 		meanSizes:      map[string]float64{},
 		failingUntil:   map[string]time.Time{},
 		targetRates:    map[string]targetRate{},
+		leaving:        leavingTargets{},
 	}
 	e.bindings = newBindings(e, order.Owner{Node: o.Node})
 	e.stopping, e.cancelWaiting = context.WithCancel(context.Background())
-	e.fleet.Store(newFleet(membership.View{}))
+	e.fleet.Store(newFleet(membership.View{}, nil))
 	e.health.SetEntries(o.Node, 1)
 	return e
 }
--- a/process/entry/fleet.go
+++ b/process/entry/fleet.go
@@ -54,7 +54,7 @@
 	incarnations []order.Owner
 }
 
-func newFleet(v membership.View) *fleet {
+func newFleet(v membership.View, leaving leavingTargets) *fleet {
 	f := &fleet{view: v, members: make(map[string]*membership.Member, len(v.Members)), targets: map[string]gateTarget{}}
 	for i := range v.Members {
 		member := &v.Members[i]
@@ -71,6 +71,7 @@
 			if _, duplicate := f.targets[key]; !duplicate {
 				f.targetKeys = append(f.targetKeys, key)
 			}
+			t.Leaving = t.Leaving || leaving.has(key, t.Incarnation)
 			f.targets[key] = gateTarget{key: key, info: t, member: member, nodeState: member.State}
 		}
 	}
@@ -113,10 +114,12 @@
 // the last one in reports and versions only. SetView only compares those, and does
 // not compute the subsets of the services again.
 func (e *Entry) SetView(v membership.View) {
+	e.viewMu.Lock()
+	defer e.viewMu.Unlock()
 	if sameFleet(e.fleet.Load().view, v) {
 		return
 	}
-	e.fleet.Store(newFleet(v))
+	e.fleet.Store(newFleet(v, e.leaving))
 	e.refresh()
 }
 
--- a/process/entry/target_header.go
+++ b/process/entry/target_header.go
@@ -1,13 +1,19 @@
 package entry
 
 import (
+	"maps"
 	"time"
 
 	"github.com/hyssopsill/hyssopsill/request/attempt"
 )
 
-// rateMemory is how long an entry passes on the rate that a target named last.
-const rateMemory = 30 * time.Second
+const (
+	// rateMemory is how long an entry passes on the rate that a target named last.
+	rateMemory = 30 * time.Second
+	// leavingMemory is how long an entry remembers that a process of a target leaves. A
+	// target that leaves ends within minutes.
+	leavingMemory = 10 * time.Minute
+)
 
 // targetRate is the rate that a process of a target takes, as its gate reported it.
 type targetRate struct {
@@ -36,3 +42,31 @@
 	}
 	return ""
 }
+
+// leavingTargets are the processes of targets that said in a response that they leave.
+// Their gates know it too, but forget it when they restart.
+type leavingTargets map[string]leavingTarget
+
+type leavingTarget struct {
+	process attempt.Incarnation
+	at      time.Time
+}
+
+func (l leavingTargets) has(key string, process attempt.Incarnation) bool {
+	known, ok := l[key]
+	return ok && known.process == process
+}
+
+// noteLeaving takes a target out of use that said in a response that it leaves.
+func (e *Entry) noteLeaving(t gateTarget) {
+	e.viewMu.Lock()
+	defer e.viewMu.Unlock()
+	if e.leaving.has(t.key, t.info.Incarnation) {
+		return
+	}
+	now := e.now()
+	maps.DeleteFunc(e.leaving, func(_ string, l leavingTarget) bool { return now.Sub(l.at) >= leavingMemory })
+	e.leaving[t.key] = leavingTarget{t.info.Incarnation, now}
+	e.fleet.Store(newFleet(e.fleet.Load().view, e.leaving))
+	e.refresh()
+}
--- a/process/gate/target_header.go
+++ b/process/gate/target_header.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/hyssopsill/hyssopsill/connection/targetlimit"
@@ -11,14 +12,17 @@
 )
 
 // observeTargetHeader learns from the target's response to this exchange what the
-// target says of itself. Responses that do not name the request may be another
-// process's.
-func (e *exchange) observeTargetHeader(h http.Header) {
+// target says of itself: the rate of requests that it takes, and that it leaves.
+// Responses that do not name the request may be another process's.
+func (e *exchange) observeTargetHeader(incarnation attempt.Incarnation, h http.Header) {
 	profile := &e.gate.options.HTTPProfile
 	if profile.CallerRequestIDs && h.Get(profile.RequestID) != string(e.id.Request) {
 		return
 	}
 	e.observeRate(h)
+	if profile.TargetLeaving != "" && strings.TrimSpace(h.Get(profile.TargetLeaving)) == "1" {
+		e.gate.DrainProcess(e.gate.now(), e.targetID, incarnation.StartedMS)
+	}
 }
 
 // observeRate applies the rate that a response names. It ignores a value that is no
--- a/request/attempt/headers.go
+++ b/request/attempt/headers.go
@@ -11,7 +11,8 @@
 	HeaderOutcome        = "Hyssopsill-Outcome"
 	HeaderTimeoutMS      = "Hyssopsill-Timeout-Ms" // time left until the deadline, milliseconds
 	HeaderIdempotencyKey = "Idempotency-Key"
-	HeaderTakesRate      = "Target-Rate" // requests/s that a target in need takes
+	HeaderTakesRate      = "Target-Rate"    // requests/s that a target in need takes
+	HeaderLeaving        = "Target-Leaving" // "1": the target takes no new work
 )
 
 // Headers between entry and gate. Callers and targets never see them.
--- a/request/attempt/http_profile.go
+++ b/request/attempt/http_profile.go
@@ -29,6 +29,8 @@
 	// TargetRate carries, in responses of a target in need, the requests/s that it takes
 	// from all nodes together, as a decimal number.
 	TargetRate string
+	// TargetLeaving is "1" in the responses of a target that takes no new work.
+	TargetLeaving string
 	// CallerRequestIDs is set when callers choose the RequestID and targets echo it.
 	CallerRequestIDs bool
 	// StrictStatus is set when callers take 429 and 503 to mean that the work did
@@ -44,7 +46,7 @@
 // DefaultHTTPProfile holds the project's own header fields.
 var DefaultHTTPProfile = HTTPProfile{
 	RequestID: HeaderRequestID, Timeout: HeaderTimeoutMS, Outcome: HeaderOutcome, OrderKey: HeaderIdempotencyKey,
-	TargetRate: HeaderTakesRate,
+	TargetRate: HeaderTakesRate, TargetLeaving: HeaderLeaving,
 }
 
 // IsFleetHeader reports whether the fleet sets the header field, so that it is not
