request/order, process/gate: a target's refusal violates no invariant

Each refusal of non-idempotent work by its target counted as a violation of not-run, as the work had been sent; operators are told to alert on any violation. Found by a raw target in a test with a reporter that panics: TestRefusalOfTargetIsProof failed with 'attempt reported as not run after its start'.

--- a/process/gate/refusal.go
+++ b/process/gate/refusal.go
@@ -32,7 +32,7 @@
 	misdirected := resp.StatusCode == http.StatusMisdirectedRequest
 	if resp.Header.Get(profile.NotExecuted) != "" || misdirected {
 		_, _ = io.CopyN(io.Discard, resp.Body, maxRefusalBytes) // with an unread rest the connection is not reused
-		e.result = order.Result{Outcome: attempt.NotRun}
+		e.result = order.Result{Outcome: attempt.NotRun, RefusedByTarget: true}
 		e.release()
 		e.respondProblem(attempt.VerdictRefused, targetReason(resp.StatusCode), fmt.Sprintf("the target refused with status %d", resp.StatusCode), 0)
 		if misdirected {
--- a/request/order/registry.go
+++ b/request/order/registry.go
@@ -65,9 +65,13 @@
 // Result describes how an attempt ended.
 type Result struct {
 	Outcome attempt.Outcome // Answered; NotRun when it never started; Unknown otherwise
-	Status  int
-	Header  map[string][]string
-	Body    []byte
+	// RefusedByTarget means that the target proved that it did not run the work that
+	// was sent to it. Outcome is NotRun.
+	RefusedByTarget bool
+
+	Status int
+	Header map[string][]string
+	Body   []byte
 }
 
 // StoredResponse is the response to an order that has run.
@@ -373,7 +377,7 @@
 	if state.phase == attemptReserved {
 		return r.releaseReservation(hash, state)
 	}
-	r.reporter.Check(invariant.NotRun, result.Outcome != attempt.NotRun, "attempt %s reported as not run after its start", a)
+	r.reporter.Check(invariant.NotRun, result.Outcome != attempt.NotRun || result.RefusedByTarget, "attempt %s reported as not run after its start", a)
 	state.phase = attemptFinished
 	r.attempts[hash] = state
 	if key.IsZero() {
