process/gate: a refusal counts only for the request that it was written for

Report of other operators: a faulty target writes an earlier refusal once more on a kept connection; clients are told that a request has not run which the target runs, or it runs at a second target. It can happen here in two cases: the refusal names no request, or the request was sent to the target again, so that both name the same ID.

A refusal that names another request was discarded before, too.

--- a/process/gate/exchange.go
+++ b/process/gate/exchange.go
@@ -346,8 +346,9 @@
 			{Name: profile.Timeout, Value: strconv.FormatInt(remaining, 10)},
 			{Name: profile.RequestID, Value: string(e.id.Request)},
 		},
-		Length:     e.r.ContentLength,
-		BeforeSend: e.confirmStart,
+		Length:        e.r.ContentLength,
+		BeforeSend:    e.confirmStart,
+		NewConnection: e.gate.wasRefused(e.id.Request),
 	}
 	if profile.TargetInstance != "" {
 		req.Fields = append(req.Fields, roundtrip.Field{Name: profile.TargetInstance, Value: e.targetID})
--- a/process/roundtrip/client.go
+++ b/process/roundtrip/client.go
@@ -86,7 +86,10 @@
 // one. The exchange fails when ctx ends, also while the body is read.
 func (c *Client) Do(ctx context.Context, address string, req *Request) (*Response, error) {
 	for {
-		cn := c.getIdle(address)
+		var cn *conn
+		if !req.NewConnection {
+			cn = c.getIdle(address)
+		}
 		reused := cn != nil
 		if !reused {
 			netConn, err := c.dialer.DialContext(ctx, "tcp", address)
--- a/process/roundtrip/request.go
+++ b/process/roundtrip/request.go
@@ -38,6 +38,10 @@
 	// ErrNotSent.
 	BeforeSend func(connectedAt time.Time) bool
 
+	// NewConnection makes the exchange open a connection, so that no late response to an
+	// earlier request is read.
+	NewConnection bool
+
 	// IsResponse, if set, reports whether a response belongs to this request. One
 	// that does not is discarded and the next one is read.
 	IsResponse func(http.Header) bool
