process/entry: a draining node refuses late requests that may outlast its drain

Report of other operators: in a planned stop, requests that came late in the grace were passed on and cut at its end, with an unknown outcome. Found by reading, not seen in a play.

A request that arrives after drain_notice is now refused at once, unless its deadline is before the responses to waiting requests. Callers learn that it has not run and when to come back.

--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -79,6 +79,7 @@
 	sequence       atomic.Uint64
 	activeRequests atomic.Int64
 	draining       atomic.Bool
+	drainTimes     atomic.Pointer[drainTimes] // nil unless a drain ends at a fixed time
 	stopping       context.Context // cancelled by EndWaitingRequests
 	cancelWaiting  context.CancelFunc
 
@@ -175,17 +176,6 @@
 // Active returns the number of requests in progress.
 func (e *Entry) Active() int64 { return e.activeRequests.Load() }
 
-// Drain makes each further response close its connection, so that callers
-// connect to other nodes. It also affects the requests in progress.
-func (e *Entry) Drain() { e.draining.Store(true) }
-
-// closeIfDraining makes the response with header h close its connection in a drain.
-func (e *Entry) closeIfDraining(h http.Header) {
-	if e.draining.Load() {
-		h["Connection"] = []string{"close"}
-	}
-}
-
 // budget returns the retry budget of a service. The caller holds e.mu.
 func (e *Entry) budget(service string) *retry.Budget {
 	b := e.budgets[service]
--- a/process/entry/request.go
+++ b/process/entry/request.go
@@ -124,6 +124,10 @@
 		q.refuse(attempt.NotRun, reason, err.Error(), 0)
 		return
 	}
+	if wait, late := q.tooLateForDrain(); late {
+		q.refuse(attempt.NotRun, attempt.ReasonLeaving, "this node stops before the deadline of the request", wait)
+		return
+	}
 	if !q.checkLimits() {
 		return
 	}
--- a/process/node/drain.go
+++ b/process/node/drain.go
@@ -35,6 +35,7 @@
 	n.record(record.Record{At: startedAt, Node: n.options.Settings.Node, Kind: record.KindDrain,
 		Change: &record.Change{Subject: n.options.Settings.Node, To: "leaving", Why: fmt.Sprintf("drain requested with %d requests at the gate and %d at the entry", n.gate.Running(), n.entry.Active())}})
 	n.entry.Drain()
+	n.setDrainTimes(startedAt)
 	n.gate.DrainAll()
 	n.fleet.announceLeaving()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -49,6 +50,14 @@
 	n.log.Info().Msgf("node: drained in %s", n.now().Sub(startedAt).Round(time.Millisecond))
 }
 
+// setDrainTimes tells the entry which requests it may still take. Callers have the
+// drain notice to learn that the node leaves.
+func (n *Node) setDrainTimes(startedAt time.Time) {
+	if timeout := n.options.Settings.DrainTimeout; timeout > 0 {
+		n.entry.SetDrainTimes(startedAt.Add(n.options.Settings.DrainNotice), startedAt.Add(endWaitingAfter(timeout)))
+	}
+}
+
 // noticeSteps is the number of timers that make up the drain notice. A pause of
 // the process uses up at most one of them. With a single timer the notice could
 // end during the pause, and closing the listener resets the connections that
--- a/process/node/drain_test.go
+++ b/process/node/drain_test.go
@@ -64,6 +64,33 @@
 	node.done <- nil // for the cleanup
 }
 
+// Guards against requests that arrive late in a drain, are passed on and are cut at its
+// end, and against a refusal of those that end before it.
+func TestLateRequestsOfDrainAreTakenOnlyIfTheyEndInTime(t *testing.T) {
+	log := logservice.New(logservice.Options{})
+	publishConfig(t, log, strings.Replace(testConfig, "hedge = true", `deadline = "1m"`, 1))
+	node := startTestNode(t, "n1", "d1", log)
+	standinTarget := startTarget(t, node, "t1")
+	eventually(t, "the target responds", func() bool { status, _, _ := get(node, "/kits"); return status == 200 })
+	requests := standinTarget.Counts().Requests
+	now := time.Now()
+	node.entry.SetDrainTimes(now, now.Add(30*time.Second))
+	if status, outcome, body := get(node, "/kits"); status != 503 || outcome != "not-run" || !strings.Contains(body, `"reason":"leaving"`) || !strings.Contains(body, "retry_after_ms") {
+		t.Errorf("a request that may outlast the drain got %d, %s, %s", status, outcome, body)
+	}
+	if n := standinTarget.Counts().Requests - requests; n != 0 {
+		t.Errorf("%d refused requests reached the target", n)
+	}
+	node.entry.SetDrainTimes(now, now.Add(2*time.Minute))
+	if status, _, body := get(node, "/kits"); status != 200 {
+		t.Errorf("a request that ends before the drain got %d, %s", status, body)
+	}
+	node.entry.SetDrainTimes(now.Add(time.Minute), now.Add(2*time.Second))
+	if status, _, body := get(node, "/kits"); status != 200 {
+		t.Errorf("a request that arrived early in the drain got %d, %s", status, body)
+	}
+}
+
 // Guards against a drain timeout that ends too early after a repeated signal, and
 // against one that never ends.
 func TestRepeatedSignalExtendsDrain(t *testing.T) {
