--- a/soak/check.go
+++ b/soak/check.go
@@ -28,6 +28,7 @@
 	Budget        Guarantee = "budget"          // retries stay within the retry budget
 	PoisonLimit   Guarantee = "poison"          // a request crashes at most two targets
 	Recovery      Guarantee = "recovery"        // all nodes and targets serve again after the faults
+	TargetRates   Guarantee = "target-rate"     // a target gets no more requests than the rate that it names
 	RequestedEnd  Guarantee = "requested-end"   // a process ends only by what the soak did
 )
 
@@ -60,7 +61,7 @@
 		{AtMostOnce, checkAtMostOnce}, {NotRun, checkNotRun}, {OwnAnswer, checkOwnAnswer}, {NoCut, checkNoCut},
 		{GracefulStop, func(h *History) []string { return h.Stuck }}, {Leaving, checkLeaving}, {Floor, checkFloor},
 		{ConfigForward, checkConfigForward}, {Budget, checkBudget}, {PoisonLimit, checkPoison}, {Recovery, checkRecovery},
-		{RequestedEnd, checkEnds},
+		{RequestedEnd, checkEnds}, {TargetRates, checkRates},
 	} {
 		for _, detail := range c.check(h) {
 			out = append(out, Violation{c.guarantee, detail})
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -57,6 +57,11 @@
 	for i := range 100 {
 		h.Executions = append(h.Executions, target.Execution{At: atSecond(4), Target: "t1", Request: attempt.RequestID(fmt.Sprint("g", i))})
 	}
+	h.RateLimits = []RateLimit{{Target: "t4", From: atSecond(20), To: atSecond(30), Rate: 3}}
+	h.Executions = append(h.Executions, execution("t4", "", 21))
+	for i := range 23 { // as many as 1.5 times the rate and 5 allow in 4 s
+		h.Executions = append(h.Executions, execution("t4", "", 23+float64(i)*0.17))
+	}
 	for i := range 39 { // a tenth of the first runs, and one per second for each node
 		h.Executions = append(h.Executions, target.Execution{At: atSecond(5), Target: "t2", Request: attempt.RequestID(fmt.Sprint("g", i))})
 	}
@@ -107,6 +112,7 @@
 			h.Executions = append(h.Executions, target.Execution{At: atSecond(3), Target: "t3", Crash: "poison"})
 		}},
 		{Recovery, func(h *History) { h.Unready = "n2 is not ready" }},
+		{TargetRates, func(h *History) { h.Executions = append(h.Executions, execution("t4", "", 25)) }},
 		{RequestedEnd, func(h *History) { h.Ends[0].Signal, h.Ends[0].Status = "hangup", -1 }}, // during its drain
 		{RequestedEnd, func(h *History) { h.Ends[0].Status = 3 }},                              // as after a second SIGTERM
 		{RequestedEnd, func(h *History) { h.Ends[0].TermAt = time.Time{} }},
@@ -143,17 +149,19 @@
 			t.Errorf("seed %d: the poison event is not at the end of the faults", seed)
 		}
 	}
-	if len(seen) != len(kindWeights)+3 { // Poison, NodeReload and StoreRestore are drawn apart
-		t.Errorf("only %d of %d kinds are drawn", len(seen), len(kindWeights)+3)
+	if drawnApart := 5; len(seen) != len(kindWeights)+drawnApart { // Poison, NodeReload, StoreRestore, StoreTurnAway and TargetRate
+		t.Errorf("only %d of %d kinds are drawn", len(seen), len(kindWeights)+drawnApart)
 	}
 }
 
-// Guards against reloads and restores that change the other events of a seed, so that the
+// Guards against events drawn apart that change the other events of a seed, so that the
 // seeds that failed before plans had them no longer give the plans that failed.
 func TestReloadsLeaveOtherEvents(t *testing.T) {
 	hash := fnv.New64a()
 	for seed := range uint64(50) {
-		events := slices.DeleteFunc(NewPlan(seed, 4, 6, 10*time.Second).Events, func(e Event) bool { return e.Kind == NodeReload || e.Kind == StoreRestore })
+		events := slices.DeleteFunc(NewPlan(seed, 4, 6, 10*time.Second).Events, func(e Event) bool {
+			return slices.Contains([]Kind{NodeReload, StoreRestore, StoreTurnAway, TargetRate}, e.Kind)
+		})
 		for i := range events {
 			events[i].Reloads, events[i].StartReloads = nil, nil
 		}
@@ -164,7 +172,7 @@
 	}
 }
 
-// plansWithoutReloads is the hash of the plans before reloads and restores were added.
+// plansWithoutReloads is the hash of the plans before events were drawn apart.
 const plansWithoutReloads = 0xd9ebeba1691ffcac
 
 // Guards against plans without reloads in one of the phases of a graceful stop, at the
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -84,7 +84,7 @@
 	*process
 	name, domain, settingsFile             string
 	caller, data, control, announce, admin string
-	proxy                                  *Proxy
+	proxy, logProxy                        *Proxy     // before its gate, and between it and the log service
 	restartMu                              sync.Mutex // held while the process is restarted
 }
 
@@ -137,7 +137,12 @@
 	if err != nil {
 		return err
 	}
-	n := &node{name: fmt.Sprintf("n%d", i+1), domain: fmt.Sprintf("d%d", i%domains+1), proxy: proxy,
+	logProxy, err := NewProxy()
+	if err != nil {
+		return err
+	}
+	logProxy.SetTarget(strings.TrimPrefix(f.logURL, "http://"))
+	n := &node{name: fmt.Sprintf("n%d", i+1), domain: fmt.Sprintf("d%d", i%domains+1), proxy: proxy, logProxy: logProxy,
 		caller: anyPort, data: anyPort, control: anyPort, announce: anyPort, admin: anyPort}
 	n.settingsFile = filepath.Join(f.options.Dir, n.name+".toml")
 	f.nodes = append(f.nodes, n)
@@ -166,7 +171,7 @@
 admin = %q
 [advertise]
 peer_data = %q
-`, n.name, n.domain, fleetToken, f.logURL, strings.Join(seeds, ", "), n.caller, n.data, n.control, n.announce, n.admin, n.proxy.Address())
+`, n.name, n.domain, fleetToken, "http://"+n.logProxy.Address(), strings.Join(seeds, ", "), n.caller, n.data, n.control, n.announce, n.admin, n.proxy.Address())
 	if err := os.WriteFile(n.settingsFile, []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -324,6 +329,7 @@
 			stuck = append(stuck, n.name)
 		}
 		n.proxy.Close()
+		n.logProxy.Close()
 	}
 	return stuck
 }
--- a/soak/history.go
+++ b/soak/history.go
@@ -47,6 +47,7 @@
 	Executions []target.Execution `json:"executions"`
 	Stops      []Stop             `json:"stops"`
 	Drains     []Drain            `json:"drains"`
+	RateLimits []RateLimit        `json:"rate_limits"`
 	Restarts   []time.Time        `json:"starts"` // of node processes, without the first ones
 	Views      []View             `json:"views"`
 	Stuck      []string           `json:"stuck"`   // nodes that did not exit by themselves
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -100,6 +100,11 @@
 		return in.enableFaultsFor(ctx, f.logURL, standinFaults[e.Kind], e.Duration)
 	case StorePause:
 		return in.pause(ctx, f.log, e.Duration)
+	case StoreTurnAway:
+		in.turnAway(ctx, n, e.Duration)
+		return nil
+	case TargetRate:
+		return in.limitTarget(ctx, target, e.Duration)
 	case StoreRestore:
 		return in.restoreLog(ctx, e.Duration)
 	case Publish:
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -33,8 +33,11 @@
 	StoreLose    Kind = "store-lose"   // responses to appends are lost
 	StorePause   Kind = "store-pause"
 	StoreRestore Kind = "store-restore" // it comes back from a copy of an age
-	Publish      Kind = "publish"       // an operator publishes a configuration
-	Poison       Kind = "poison"        // a request that crashes targets
+	// StoreTurnAway leaves all nodes but the subject without responses of the log service.
+	StoreTurnAway Kind = "store-turn-away"
+	TargetRate    Kind = "target-rate" // it names the rate of requests that it takes
+	Publish       Kind = "publish"     // an operator publishes a configuration
+	Poison        Kind = "poison"      // a request that crashes targets
 )
 
 // kindWeights gives the relative frequency of each kind of fault.
@@ -114,6 +117,8 @@
 	p.Events = append(p.Events, Event{At: faults, Kind: Poison, Subject: random.IntN(nodes)})
 	p.addReloads(rand.New(rand.NewPCG(seed, 0x5164)))
 	p.addRestores(rand.New(rand.NewPCG(seed, 0x4e57)))
+	p.addTurnAways(rand.New(rand.NewPCG(seed, 0x7a4a)))
+	p.addTargetRates(rand.New(rand.NewPCG(seed, 0x4a7e)))
 	slices.SortStableFunc(p.Events, func(a, b Event) int { return int(a.At - b.At) })
 	return p
 }
@@ -125,7 +130,7 @@
 
 // concernsTarget reports whether Subject is the index of a target.
 func (e Event) concernsTarget() bool {
-	return slices.Contains([]Kind{TargetPause, TargetKill, TargetDrain, TargetFail, TargetHang}, e.Kind)
+	return slices.Contains([]Kind{TargetPause, TargetKill, TargetDrain, TargetFail, TargetHang, TargetRate}, e.Kind)
 }
 
 func drawKind(random *rand.Rand) Kind {
