version/config: changes of split routes are validated by the services of the split

A route with split could be set in a whole configuration, but a change to it was rejected: 'service "" does not exist'. Deleting a service of a split was not noticed either. Both now use the validation of the whole configuration.

--- a/version/config/stage.go
+++ b/version/config/stage.go
@@ -102,24 +102,21 @@
 				continue
 			}
 			_, edited := staged[path]
-			if _, affected := staged[prefixServices+o.route.Service]; affected && !edited {
+			affected := slices.ContainsFunc(o.route.services(), func(name string) bool { _, ok := staged[prefixServices+name]; return ok })
+			if affected && !edited {
 				routes[path] = o.route
 			}
 		}
 	}
-	for _, path := range slices.Sorted(maps.Keys(routes)) {
-		s.checkReference(path, routes[path], staged, add)
-	}
-}
-
-func (s *State) checkReference(path string, r *Route, staged map[string]*object, add addFunc) {
-	service := s.lookup(staged, prefixServices+r.Service)
-	if service == nil {
-		add(path+".service", "service %q does not exist", r.Service)
-		return
+	lookup := func(name string) (*Service, bool) {
+		o := s.lookup(staged, prefixServices+name)
+		if o == nil {
+			return nil, false
+		}
+		return o.service, true
 	}
-	if _, ok := service.service.Classes[r.Class]; !ok {
-		add(path+".class", "class %q does not exist in service %q", r.Class, r.Service)
+	for _, path := range slices.Sorted(maps.Keys(routes)) {
+		routes[path].validateReference(path, lookup, add)
 	}
 }
 
--- a/version/config/validate.go
+++ b/version/config/validate.go
@@ -52,7 +52,7 @@
 	for i, r := range c.Routes {
 		key := fmt.Sprintf("routes[%d]", i)
 		r.validate(key, add)
-		r.validateReference(key, c.Services, add)
+		r.validateReference(key, c.lookupService, add)
 		if r.ID != "" && ids[r.ID] {
 			add(key+".id", "route %q exists already", r.ID)
 		}
@@ -67,6 +67,11 @@
 	}
 }
 
+func (c *Config) lookupService(name string) (*Service, bool) {
+	s, ok := c.Services[name]
+	return &s, ok
+}
+
 func validateHeader(name string, add addFunc) {
 	switch {
 	case !headerPattern.MatchString(name):
@@ -141,9 +146,12 @@
 	}
 }
 
-func (r *Route) validateReference(key string, services map[string]Service, add addFunc) {
+// lookupService returns a service by its name.
+type lookupService func(name string) (*Service, bool)
+
+func (r *Route) validateReference(key string, lookup lookupService, add addFunc) {
 	if len(r.Split) == 0 {
-		r.validateService(key, "service", r.Service, services, add)
+		r.validateService(key, "service", r.Service, lookup, add)
 		return
 	}
 	if r.Service != "" {
@@ -151,15 +159,15 @@
 	}
 	for i, s := range r.Split {
 		field := fmt.Sprintf("split[%d]", i)
-		r.validateService(key, field+".service", s.Service, services, add)
+		r.validateService(key, field+".service", s.Service, lookup, add)
 		if !(s.Weight > 0) || math.IsInf(s.Weight, 0) {
 			add(joinKey(key, field+".weight"), "is %v, want more than 0", s.Weight)
 		}
 	}
 }
 
-func (r *Route) validateService(key, field, name string, services map[string]Service, add addFunc) {
-	service, ok := services[name]
+func (r *Route) validateService(key, field, name string, lookup lookupService, add addFunc) {
+	service, ok := lookup(name)
 	if !ok {
 		add(joinKey(key, field), "service %q does not exist", name)
 		return
@@ -169,6 +177,18 @@
 	}
 }
 
+// services returns the names of the services that the route leads to.
+func (r *Route) services() []string {
+	if len(r.Split) == 0 {
+		return []string{r.Service}
+	}
+	names := make([]string, len(r.Split))
+	for i, s := range r.Split {
+		names[i] = s.Service
+	}
+	return names
+}
+
 // matchKeys returns one key for each combination of host, prefix and method that
 // the route matches; two routes with an equal key are ambiguous.
 func (r *Route) matchKeys() []string {
