version/config: a fraction for max_attempts is reported

max_attempts = 2.5 became 2 without a word, unlike the other integers. TestFractionsOfIntegersAreReported looks at all integer keys; it failed for max_attempts only.

--- a/version/config/parse.go
+++ b/version/config/parse.go
@@ -122,7 +122,7 @@
 }
 
 var integerKeys = map[string]bool{
-	"queue_limit": true, "max_concurrency": true, "customer_burst": true, "customer_concurrency": true, "max_body": true,
+	"queue_limit": true, "max_concurrency": true, "customer_burst": true, "customer_concurrency": true, "max_attempts": true, "max_body": true,
 }
 
 // checkIntegers reports fractions where an integer is expected; the decoder
