cmd/hyssopsill: a command whose text output is lost fails

With a full disk, a command ended with exit code 0 and without a message; only JSON output reported the error. TestLostOutputFailsTheCommand failed for text.

--- a/cmd/hyssopsill/root.go
+++ b/cmd/hyssopsill/root.go
@@ -166,8 +166,26 @@
 		encoder.SetIndent("", "  ")
 		return encoder.Encode(v)
 	}
-	text(a.stdout)
-	return nil
+	w := &checkedWriter{Writer: a.stdout}
+	text(w)
+	return w.err
+}
+
+// checkedWriter remembers the first error of its writer, after which it writes nothing.
+type checkedWriter struct {
+	io.Writer
+	err error
+}
+
+func (w *checkedWriter) Write(p []byte) (int, error) {
+	if w.err != nil {
+		return 0, w.err
+	}
+	n, err := w.Writer.Write(p)
+	if err != nil {
+		w.err = fmt.Errorf("output: %w", err)
+	}
+	return n, err
 }
 
 // writeTable writes rows under a heading, in aligned columns.
