--- a/process/entry/drain.go
+++ b/process/entry/drain.go
@@ -17,7 +17,9 @@
 
 // SetDrainTimes makes a draining entry refuse requests that arrive after lateFrom and
 // whose deadline is after end. They could be cut while their targets work.
-func (e *Entry) SetDrainTimes(lateFrom, end time.Time) { e.drainTimes.Store(&drainTimes{lateFrom, end}) }
+func (e *Entry) SetDrainTimes(lateFrom, end time.Time) {
+	e.drainTimes.Store(&drainTimes{lateFrom, end})
+}
 
 // closeIfDraining makes the response with header h close its connection in a drain.
 func (e *Entry) closeIfDraining(h http.Header) {
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -80,7 +80,7 @@
 	activeRequests atomic.Int64
 	draining       atomic.Bool
 	drainTimes     atomic.Pointer[drainTimes] // nil unless a drain ends at a fixed time
-	stopping       context.Context // cancelled by EndWaitingRequests
+	stopping       context.Context            // cancelled by EndWaitingRequests
 	cancelWaiting  context.CancelFunc
 
 	mu             sync.Mutex
--- a/process/node/reports.go
+++ b/process/node/reports.go
@@ -41,8 +41,8 @@
 func serviceHash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
 
 // encodeReports encodes r in at most limit bytes and leaves out the parts that
-// do not fit. The access to the log service and poison reports come first, then the greatest suspicions, then the
-// greatest demands.
+// do not fit. The access to the log service and poison reports come first, then
+// the greatest suspicions, then the greatest demands.
 func encodeReports(r reports, limit int) []byte {
 	out := []byte{reportsFormat}
 	add := func(tag byte, content []byte) {
--- a/version/distribute/core.go
+++ b/version/distribute/core.go
@@ -140,11 +140,10 @@
 	snapshotOffset    int64     // up to which the newest known snapshot covers the log
 	snapshotKnownAt   time.Time // when the node learned of that snapshot; the first tick when there is none
 	nextSnapshotWrite time.Time
-	// since when this node is the first that can write snapshots, but not by rank
-	snapshotStandInSince time.Time
-	writingSnapshot      bool
-	cachedSnapshot       []byte // encoded state, kept for peers
-	cachedOffset         int64  // offset of cachedSnapshot
+	standInSince      time.Time // when this node became the first that can write snapshots, while another is by rank
+	writingSnapshot   bool
+	cachedSnapshot    []byte // encoded state, kept for peers
+	cachedOffset      int64  // offset of cachedSnapshot
 }
 
 // domainFetch is the state of a new node's snapshot requests to the peers of one
@@ -183,7 +182,8 @@
 // Version returns the version in force and the offset of the last record applied.
 func (c *Core) Version() (version, offset int64) { return c.state.Version(), c.state.Offset() }
 
-// LastRead returns the time of the last successful read of the log, zero without one.
+// LastRead returns the time of the last read of the log that got a response, zero without
+// one.
 func (c *Core) LastRead() time.Time { return c.lastRead }
 
 // Ready reports whether the node has the newest version it could reach: that
@@ -242,13 +242,13 @@
 	}
 	canWrite := func(p Peer) bool { return !p.Silent && p.Access != AccessLost }
 	if c.Access() == AccessLost || c.rank("snapshot", canWrite) > 0 {
-		c.snapshotStandInSince = time.Time{}
+		c.standInSince = time.Time{}
 		return false
 	}
-	if c.snapshotStandInSince.IsZero() {
-		c.snapshotStandInSince = now
+	if c.standInSince.IsZero() {
+		c.standInSince = now
 	}
-	return now.Sub(c.snapshotStandInSince) >= snapshotRetryInterval
+	return now.Sub(c.standInSince) >= snapshotRetryInterval
 }
 
 // Tick returns the calls that are due. The I/O layer calls it every 100 ms.
--- a/version/distribute/readers.go
+++ b/version/distribute/readers.go
@@ -51,10 +51,7 @@
 func (r Readers) Role(self Peer, peers []Peer) Role {
 	position, ownScore := 0, score(r.Salt, self.Node)
 	for _, p := range peers {
-		if p.Node == self.Node {
-			continue
-		}
-		if p.Domain != self.Domain || !r.counts(self, p) {
+		if p.Node == self.Node || p.Domain != self.Domain || !r.counts(self, p) {
 			continue
 		}
 		if s := score(r.Salt, p.Node); r.goesBefore(self, p) || s > ownScore || s == ownScore && p.Node < self.Node {
