--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -43,6 +43,7 @@
 	{103, 8 * time.Second, "poison: a dial reset by a dying target was taken for one of a live target, and a quarantined copy was retried"},
 	{771903, 8 * time.Second, "recovery: the soak left a target failing, as its call that enabled the fault had no response, not a fault of the fleet"},
 	{5101, 3 * time.Second, "requested-end, no-cut: SIGHUP ended a node 0.08 s after SIGTERM, with its requests in progress"},
+	{8006, 10 * time.Second, "target-rate: the gate started work whenever a slot was free, above the rate that the target named"},
 	{32, 8 * time.Second, "recovery: the soak left a target leaving after a drain that failed, not a fault of the fleet"},
 }
 
