process/entry: what a target said outlives its gate

An entry kept the rate and the leaving of a target by the target and its node. Where another gate takes the target over, that gate knows neither, and got no hint. They are now kept by the identity and the process of the target.

TestWhatATargetSaidOutlivesItsGate failed: no rate and not leaving at the other gate.

--- a/process/entry/fleet.go
+++ b/process/entry/fleet.go
@@ -71,7 +71,7 @@
 			if _, duplicate := f.targets[key]; !duplicate {
 				f.targetKeys = append(f.targetKeys, key)
 			}
-			t.Leaving = t.Leaving || leaving.has(key, t.Incarnation)
+			t.Leaving = t.Leaving || leaving.has(t.ID, t.Incarnation)
 			f.targets[key] = gateTarget{key: key, info: t, member: member, nodeState: member.State}
 		}
 	}
--- a/process/entry/target_header.go
+++ b/process/entry/target_header.go
@@ -23,13 +23,13 @@
 }
 
 // observeRate remembers the rate that a gate reports for its target, empty for none.
-// The caller holds e.mu.
+// Another gate may take the target over. The caller holds e.mu.
 func (e *Entry) observeRate(now time.Time, t gateTarget, text string) {
 	if text == "" {
-		delete(e.targetRates, t.key)
+		delete(e.targetRates, t.info.ID)
 		return
 	}
-	e.targetRates[t.key] = targetRate{t.info.Incarnation, text, now}
+	e.targetRates[t.info.ID] = targetRate{t.info.Incarnation, text, now}
 }
 
 // rateOf returns the rate that a target named last, empty for none. Its gate needs it
@@ -37,14 +37,15 @@
 func (e *Entry) rateOf(t gateTarget) string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if rate := e.targetRates[t.key]; rate.process == t.info.Incarnation && e.now().Sub(rate.at) < rateMemory {
+	if rate := e.targetRates[t.info.ID]; rate.process == t.info.Incarnation && e.now().Sub(rate.at) < rateMemory {
 		return rate.text
 	}
 	return ""
 }
 
-// leavingTargets are the processes of targets that said in a response that they leave.
-// Their gates know it too, but forget it when they restart.
+// leavingTargets are the processes of targets that said in a response that they leave,
+// by the identity of the target. Their gates know it too, but forget it when they restart,
+// and another gate may take a target over.
 type leavingTargets map[string]leavingTarget
 
 type leavingTarget struct {
@@ -52,8 +53,8 @@
 	at      time.Time
 }
 
-func (l leavingTargets) has(key string, process attempt.Incarnation) bool {
-	known, ok := l[key]
+func (l leavingTargets) has(id string, process attempt.Incarnation) bool {
+	known, ok := l[id]
 	return ok && known.process == process
 }
 
@@ -61,12 +62,12 @@
 func (e *Entry) noteLeaving(t gateTarget) {
 	e.viewMu.Lock()
 	defer e.viewMu.Unlock()
-	if e.leaving.has(t.key, t.info.Incarnation) {
+	if e.leaving.has(t.info.ID, t.info.Incarnation) {
 		return
 	}
 	now := e.now()
 	maps.DeleteFunc(e.leaving, func(_ string, l leavingTarget) bool { return now.Sub(l.at) >= leavingMemory })
-	e.leaving[t.key] = leavingTarget{t.info.Incarnation, now}
+	e.leaving[t.info.ID] = leavingTarget{t.info.Incarnation, now}
 	e.fleet.Store(newFleet(e.fleet.Load().view, e.leaving))
 	e.refresh()
 }
