process, version/document: one copy of the access, of the check of a response's request and of the leaving header

Read as a newcomer: the access of a node was kept in Documents and in its core, and its change in three fields of the fleet view; two places compared the request that a response names and two parsed the leaving header; the memory of refused requests was spread over methods of the gate and is now a type like withdrawals.

--- a/process/control/documents.go
+++ b/process/control/documents.go
@@ -78,7 +78,6 @@
 
 	mu     sync.Mutex
 	core   *document.Core
-	access distribute.Access
 	status LogStatus
 }
 
@@ -172,7 +171,7 @@
 		}
 		d.observeRead(time.Now(), err)
 		if known = err == nil; !known { // read the newest records again: the log may have lost the history of this position
-			repeated := retryDelay > minRetryDelay
+			repeated := retryDelay > minRetryDelay // one failed call may be the loss of its connection only
 			sleep(ctx, retryDelay/2+time.Duration(rand.Int64N(int64(retryDelay))))
 			retryDelay = min(2*retryDelay, maxRetryDelay)
 			if repeated && !d.observeRole().Needed {
@@ -199,7 +198,7 @@
 	role := d.core.Role()
 	changed := role.Reader != d.status.Reader
 	d.status.Reader = role.Reader
-	access, lastRead, version := d.access, d.status.LastRead, d.core.Version()
+	access, lastRead, version := d.core.Access(), d.status.LastRead, d.core.Version()
 	d.mu.Unlock()
 	if !changed {
 		return role
@@ -223,8 +222,7 @@
 	if err == nil {
 		d.status.LastRead = now
 	}
-	changed := access != d.access
-	d.access = access
+	changed := access != d.core.Access()
 	d.core.SetAccess(access)
 	d.mu.Unlock()
 	if changed && d.options.OnAccess != nil {
@@ -239,12 +237,11 @@
 	return d.status
 }
 
-// waitForRole waits a random time around the given one, or until the node is needed
-// as a reader.
+// waitForRole waits a random time around the given one, or until the node is a reader.
 func (d *Documents) waitForRole(ctx context.Context, mean time.Duration) {
 	due := time.Now().Add(mean/2 + time.Duration(rand.Int64N(int64(mean))))
 	for ctx.Err() == nil && time.Now().Before(due) {
-		if role := d.observeRole(); role.Reader || role.Needed {
+		if d.observeRole().Reader {
 			return
 		}
 		sleep(ctx, readerPollInterval)
--- a/process/entry/attempt.go
+++ b/process/entry/attempt.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"syscall"
 	"time"
 
@@ -217,7 +216,7 @@
 	if complete {
 		_ = resp.Body.Close()
 	}
-	if name := a.request.entry.options.HTTPProfile.TargetLeaving; name != "" && strings.TrimSpace(h.Get(name)) == "1" {
+	if a.request.entry.options.HTTPProfile.SaysLeaving(h) {
 		a.request.entry.noteLeaving(a.target)
 	}
 	r := result{verdict: verdict, status: resp.StatusCode, resp: resp, buffered: buffered, streamed: !complete}
--- a/process/gate/exchange.go
+++ b/process/gate/exchange.go
@@ -338,6 +338,9 @@
 // targetRequest builds the request to the target.
 func (e *exchange) targetRequest() *roundtrip.Request {
 	remaining := max(1, e.deadline.Sub(e.gate.now()).Milliseconds())
+	e.gate.mu.Lock()
+	refusedBefore := e.gate.refused.has(e.id.Request)
+	e.gate.mu.Unlock()
 	profile := &e.gate.options.HTTPProfile
 	req := &roundtrip.Request{
 		Method: e.r.Method, URI: roundtrip.RequestURI(e.r), Host: e.r.Host,
@@ -348,7 +351,7 @@
 		},
 		Length:        e.r.ContentLength,
 		BeforeSend:    e.confirmStart,
-		NewConnection: e.gate.wasRefused(e.id.Request),
+		NewConnection: refusedBefore,
 	}
 	if profile.TargetInstance != "" {
 		req.Fields = append(req.Fields, roundtrip.Field{Name: profile.TargetInstance, Value: e.targetID})
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -81,10 +81,10 @@
 	targetCounts      map[string]int      // targets in the whole fleet, by service
 	targetCountsSince time.Time           // when targetCounts was first set
 	queued            map[admission.Ticket]chan admission.Decision
-	queueStarted      chan struct{}                   // wakes Serve when the first attempt is queued
-	waitingRetries    map[attempt.ID]chan struct{}    // closed when a waiting retry of an order may call Begin again
-	active            map[attempt.ID]*exchange        // attempts queued or running
-	refused           map[attempt.RequestID]time.Time // when a target refused the request, see noteRefused
+	queueStarted      chan struct{}                // wakes Serve when the first attempt is queued
+	waitingRetries    map[attempt.ID]chan struct{} // closed when a waiting retry of an order may call Begin again
+	active            map[attempt.ID]*exchange     // attempts queued or running
+	refused           refusedRequests
 }
 
 // Limits of the connections to targets.
@@ -128,7 +128,7 @@
 		waitingRetries: map[attempt.ID]chan struct{}{},
 		active:         map[attempt.ID]*exchange{},
 		retryBudgets:   map[string]*retry.Budget{},
-		refused:        map[attempt.RequestID]time.Time{},
+		refused:        refusedRequests{},
 	}
 	g.peerMux = g.newPeerMux()
 	return g
@@ -175,7 +175,7 @@
 			g.client.CloseExpired(time.Now())
 			g.readHealthEndpoints(ctx, now)
 			g.mu.Lock()
-			g.forgetRefused(now)
+			g.refused.expire(now)
 			if g.orders != nil {
 				g.orders.Tick(now)
 			}
--- a/process/gate/refusal.go
+++ b/process/gate/refusal.go
@@ -4,9 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"net/http"
-	"time"
 
 	"github.com/hyssopsill/hyssopsill/process/roundtrip"
 	"github.com/hyssopsill/hyssopsill/request/attempt"
@@ -34,11 +32,13 @@
 	}
 	misdirected := resp.StatusCode == http.StatusMisdirectedRequest
 	if resp.Header.Get(profile.NotExecuted) != "" || misdirected {
-		if !e.namesRequest(resp) && resp.Reused {
+		if resp.Reused && !e.namesRequest(resp.Header) {
 			e.respondProblem(attempt.VerdictFailed, attempt.ReasonTargetFailed, errAnonymousRefusal.Error(), 0)
 			return true
 		}
-		e.gate.noteRefused(e.id.Request)
+		e.gate.mu.Lock()
+		e.gate.refused.add(e.gate.now(), e.id.Request)
+		e.gate.mu.Unlock()
 		_, _ = io.CopyN(io.Discard, resp.Body, maxRefusalBytes) // with an unread rest the connection is not reused
 		e.result = order.Result{Outcome: attempt.NotRun, RefusedByTarget: true}
 		e.release()
@@ -62,42 +62,11 @@
 	return true
 }
 
-// namesRequest reports whether a response names the request of this exchange. In a
-// profile without request IDs of callers no response does.
-func (e *exchange) namesRequest(resp *roundtrip.Response) bool {
+// namesRequest reports whether a response names the request of this exchange. Without
+// request IDs of callers responses name none, and all pass.
+func (e *exchange) namesRequest(h http.Header) bool {
 	profile := &e.gate.options.HTTPProfile
-	return !profile.CallerRequestIDs || resp.Header.Get(profile.RequestID) == string(e.id.Request)
-}
-
-// refusedMemory is how long a gate remembers that its targets refused a request, and
-// maxRefused the number of requests that it remembers.
-const (
-	refusedMemory = time.Minute
-	maxRefused    = 8192
-)
-
-// noteRefused remembers that a target refused a request. When the request is sent
-// again, a faulty target may write that refusal once more on the kept connection. Both
-// name the same request, so it then gets a new connection.
-func (g *Gate) noteRefused(id attempt.RequestID) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if len(g.refused) < maxRefused {
-		g.refused[id] = g.now()
-	}
-}
-
-// wasRefused reports whether a target refused a request before.
-func (g *Gate) wasRefused(id attempt.RequestID) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	_, refused := g.refused[id]
-	return refused || len(g.refused) >= maxRefused
-}
-
-// forgetRefused removes old entries of noteRefused. The caller holds g.mu.
-func (g *Gate) forgetRefused(now time.Time) {
-	maps.DeleteFunc(g.refused, func(_ attempt.RequestID, at time.Time) bool { return now.Sub(at) >= refusedMemory })
+	return !profile.CallerRequestIDs || h.Get(profile.RequestID) == string(e.id.Request)
 }
 
 // targetReason returns the reason for the status of a target's refusal.
--- a/process/gate/target_header.go
+++ b/process/gate/target_header.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/hyssopsill/hyssopsill/connection/targetlimit"
@@ -15,12 +14,11 @@
 // target says of itself: the rate of requests that it takes, and that it leaves.
 // Responses that do not name the request may be another process's.
 func (e *exchange) observeTargetHeader(incarnation attempt.Incarnation, h http.Header) {
-	profile := &e.gate.options.HTTPProfile
-	if profile.CallerRequestIDs && h.Get(profile.RequestID) != string(e.id.Request) {
+	if !e.namesRequest(h) {
 		return
 	}
 	e.observeRate(h)
-	if profile.TargetLeaving != "" && strings.TrimSpace(h.Get(profile.TargetLeaving)) == "1" {
+	if e.gate.options.HTTPProfile.SaysLeaving(h) {
 		e.gate.DrainProcess(e.gate.now(), e.targetID, incarnation.StartedMS)
 	}
 }
--- a/process/node/fleet.go
+++ b/process/node/fleet.go
@@ -55,10 +55,10 @@
 	encodedReports  []byte                       // reports of this node
 	urgent          bool                         // encodedReports are sent within a second
 	access          map[string]distribute.Access // reported by the other nodes
-	accessChangedAt time.Time                    // when this node's own access changed last
+	reportedAccess  distribute.Access            // of this node, in encodedReports
+	accessChangedAt time.Time                    // when reportedAccess changed last
 
-	ownAccess     atomic.Uint32 // distribute.Access of this node to the log service
-	accessChanged atomic.Bool   // ownAccess is not part of encodedReports yet
+	ownAccess atomic.Uint32 // distribute.Access of this node to the log service
 
 	remote *remoteReports // used by Serve only
 	round  uint64         // number of applied views; used by Serve only
@@ -103,12 +103,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.node.now()
-	if changed := f.accessChanged.Swap(false); changed || now.Sub(f.reportsAt) >= reportsInterval {
+	access := distribute.Access(f.ownAccess.Load())
+	if access != f.reportedAccess {
+		f.reportedAccess, f.accessChangedAt, f.reportsAt = access, now, time.Time{}
+	}
+	if now.Sub(f.reportsAt) >= reportsInterval {
 		own := f.node.localReports()
-		own.access = distribute.Access(f.ownAccess.Load())
-		if changed {
-			f.accessChangedAt = now
-		}
+		own.access = access
 		f.reportsAt, f.encodedReports = now, encodeReports(own, membership.MaxReports)
 		f.urgent = isUrgent(own, now) || now.Sub(f.accessChangedAt) < accessUrgency
 	}
@@ -122,10 +123,7 @@
 
 // setAccess records whether this node can read the log service, for its reports. It
 // takes no lock, since its callers hold that of the configuration.
-func (f *fleetView) setAccess(a distribute.Access) {
-	f.ownAccess.Store(uint32(a))
-	f.accessChanged.Store(true)
-}
+func (f *fleetView) setAccess(a distribute.Access) { f.ownAccess.Store(uint32(a)) }
 
 // isUrgent reports whether r has a quarantine, or a crash of the last 5 s.
 func isUrgent(r reports, now time.Time) bool {
--- a/request/attempt/http_profile.go
+++ b/request/attempt/http_profile.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -49,6 +50,11 @@
 	TargetRate: HeaderTakesRate, TargetLeaving: HeaderLeaving,
 }
 
+// SaysLeaving reports whether the target that sent a response takes no new work.
+func (profile *HTTPProfile) SaysLeaving(h http.Header) bool {
+	return profile.TargetLeaving != "" && strings.TrimSpace(h.Get(profile.TargetLeaving)) == "1"
+}
+
 // IsFleetHeader reports whether the fleet sets the header field, so that it is not
 // forwarded from a caller.
 func (profile *HTTPProfile) IsFleetHeader(name string) bool {
--- a/version/distribute/readers.go
+++ b/version/distribute/readers.go
@@ -40,7 +40,7 @@
 type Role struct {
 	Reader bool
 	// Needed means that fewer than PerDomain other nodes of the domain can read
-	// instead of this one, so that it retries a failed read soon.
+	// instead of this one, so that it retries a failed read soon. It implies Reader.
 	Needed bool
 	// Position is the number of nodes of the domain that go before this one; below
 	// Quota, a node is a reader.
--- a/version/document/core.go
+++ b/version/document/core.go
@@ -72,7 +72,7 @@
 	config      *config.Config
 	data        []byte
 	peers       []distribute.Peer
-	access      distribute.Access // of this node to the log service
+	access      distribute.Access
 	nextRequest time.Time
 }
 
@@ -97,6 +97,7 @@
 	c.peers = slices.DeleteFunc(slices.Clone(peers), func(p distribute.Peer) bool { return p.Node == c.options.Node })
 }
 
+// readers chooses the nodes that follow the log service.
 var readers = distribute.Readers{Salt: "document reader", PerDomain: MinReaders, Fleet: FleetReaders}
 
 // Role returns whether this node follows the log service.
@@ -104,6 +105,9 @@
 	return readers.Role(distribute.Peer{Node: c.options.Node, Domain: c.options.Domain, Access: c.access}, c.peers)
 }
 
+// Access returns whether this node can read the log service.
+func (c *Core) Access() distribute.Access { return c.access }
+
 // SetAccess records whether this node can read the log service.
 func (c *Core) SetAccess(a distribute.Access) { c.access = a }
 
