process/node: a repeated signal extends the time for late requests too

A repeated SIGTERM starts the drain timeout again, but the entry kept the end of the first one and refused late requests that would have ended in time. TestRepeatedSignalExtendsTimeForLateRequests failed: 503 after the second signal.

--- a/process/node/drain.go
+++ b/process/node/drain.go
@@ -50,11 +50,11 @@
 	n.log.Info().Msgf("node: drained in %s", n.now().Sub(startedAt).Round(time.Millisecond))
 }
 
-// setDrainTimes tells the entry which requests it may still take. Callers have the
-// drain notice to learn that the node leaves.
-func (n *Node) setDrainTimes(startedAt time.Time) {
+// setDrainTimes tells the entry which requests it may still take in a drain whose
+// timeout began at from. Callers have the drain notice to learn that the node leaves.
+func (n *Node) setDrainTimes(from time.Time) {
 	if timeout := n.options.Settings.DrainTimeout; timeout > 0 {
-		n.entry.SetDrainTimes(startedAt.Add(n.options.Settings.DrainNotice), startedAt.Add(endWaitingAfter(timeout)))
+		n.entry.SetDrainTimes(from.Add(n.options.Settings.DrainNotice), from.Add(endWaitingAfter(timeout)))
 	}
 }
 
@@ -83,7 +83,11 @@
 }
 
 // ExtendDrain restarts the timeout of a running drain.
-func (n *Node) ExtendDrain() { n.drainTimer.extend(n.options.Settings.DrainTimeout) }
+func (n *Node) ExtendDrain() {
+	if n.drainTimer.extend(n.options.Settings.DrainTimeout) {
+		n.setDrainTimes(n.now())
+	}
+}
 
 // endWaitingShare is the share of the drain timeout after which requests that
 // still wait for a target get a response. The platform accepts such responses,
@@ -107,17 +111,20 @@
 }
 
 // extend restarts a running timeout. Once endWaiting has been called, only the time
-// until cut begins again, for the responses that are still being delivered.
-func (t *drainTimer) extend(timeout time.Duration) {
+// until cut begins again, for the responses that are still being delivered. It reports
+// whether endWaiting will be called later than before.
+func (t *drainTimer) extend(timeout time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.cut == nil || !t.cut.Stop() {
-		return
+		return false
 	}
 	t.cut.Reset(timeout)
-	if t.endWaiting.Stop() {
-		t.endWaiting.Reset(endWaitingAfter(timeout))
+	if !t.endWaiting.Stop() {
+		return false
 	}
+	t.endWaiting.Reset(endWaitingAfter(timeout))
+	return true
 }
 
 func endWaitingAfter(timeout time.Duration) time.Duration {
--- a/process/node/drain_test.go
+++ b/process/node/drain_test.go
@@ -10,16 +10,24 @@
 	"github.com/hyssopsill/hyssopsill/process/control"
 	"github.com/hyssopsill/hyssopsill/request/invariant"
 	"github.com/hyssopsill/hyssopsill/standin/logservice"
+	"github.com/hyssopsill/hyssopsill/standin/target"
 )
 
-// Guards against a drain that cuts a running request, and against a drain that
-// does not check the no-cut invariant.
-func TestDrainCompletesRunningRequests(t *testing.T) {
+// startServingNode starts a node with a target and waits until it serves requests.
+func startServingNode(t *testing.T, configText string) (*testNode, *target.Target) {
+	t.Helper()
 	log := logservice.New(logservice.Options{})
-	publishConfig(t, log, testConfig)
+	publishConfig(t, log, configText)
 	node := startTestNode(t, "n1", "d1", log)
 	standinTarget := startTarget(t, node, "t1")
 	eventually(t, "the target responds", func() bool { status, _, _ := get(node, "/kits"); return status == 200 })
+	return node, standinTarget
+}
+
+// Guards against a drain that cuts a running request, and against a drain that
+// does not check the no-cut invariant.
+func TestDrainCompletesRunningRequests(t *testing.T) {
+	node, standinTarget := startServingNode(t, testConfig)
 	received := make(chan string, 1)
 	go func() {
 		_, outcome, body := get(node, "/kits?work_ms=1500&echo=long")
@@ -42,11 +50,7 @@
 // Guards against a drain that cuts a request whose target does not respond in
 // time, instead of responding to it with outcome unknown.
 func TestDrainEndsWaitingRequests(t *testing.T) {
-	log := logservice.New(logservice.Options{})
-	publishConfig(t, log, strings.Replace(testConfig, "hedge = true", `deadline = "5m"`, 1))
-	node := startTestNode(t, "n1", "d1", log)
-	standinTarget := startTarget(t, node, "t1")
-	eventually(t, "the target responds", func() bool { status, _, _ := get(node, "/kits"); return status == 200 })
+	node, standinTarget := startServingNode(t, strings.Replace(testConfig, "hedge = true", `deadline = "5m"`, 1))
 	received := make(chan string, 1)
 	go func() {
 		_, outcome, body := get(node, "/kits?work_ms=250000")
@@ -67,11 +71,7 @@
 // Guards against requests that arrive late in a drain, are passed on and are cut at its
 // end, and against a refusal of those that end before it.
 func TestLateRequestsOfDrainAreTakenOnlyIfTheyEndInTime(t *testing.T) {
-	log := logservice.New(logservice.Options{})
-	publishConfig(t, log, strings.Replace(testConfig, "hedge = true", `deadline = "1m"`, 1))
-	node := startTestNode(t, "n1", "d1", log)
-	standinTarget := startTarget(t, node, "t1")
-	eventually(t, "the target responds", func() bool { status, _, _ := get(node, "/kits"); return status == 200 })
+	node, standinTarget := startServingNode(t, strings.Replace(testConfig, "hedge = true", `deadline = "1m"`, 1))
 	requests := standinTarget.Counts().Requests
 	now := time.Now()
 	node.entry.SetDrainTimes(now, now.Add(30*time.Second))
@@ -91,6 +91,23 @@
 	}
 }
 
+// Guards against a repeated signal that leaves requests refused which end in the time
+// that it gives.
+func TestRepeatedSignalExtendsTimeForLateRequests(t *testing.T) {
+	node, _ := startServingNode(t, strings.Replace(testConfig, "hedge = true", `deadline = "1m"`, 1))
+	node.options.Settings.DrainTimeout = 2 * time.Minute
+	node.drainTimer.start(2*time.Minute, func() {}, func() {})
+	defer node.drainTimer.stop()
+	node.setDrainTimes(time.Now().Add(-100 * time.Second))
+	if status, _, body := get(node, "/kits"); status != 503 {
+		t.Errorf("before the second signal: %d, %s", status, body)
+	}
+	node.ExtendDrain()
+	if status, _, body := get(node, "/kits"); status != 200 {
+		t.Errorf("after the second signal: %d, %s", status, body)
+	}
+}
+
 // Guards against a drain timeout that ends too early after a repeated signal, and
 // against one that never ends.
 func TestRepeatedSignalExtendsDrain(t *testing.T) {
