--- a/version/config/parse.go
+++ b/version/config/parse.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"reflect"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
@@ -121,8 +122,20 @@
 	return out
 }
 
-var integerKeys = map[string]bool{
-	"queue_limit": true, "max_concurrency": true, "customer_burst": true, "customer_concurrency": true, "max_attempts": true, "max_body": true,
+// integerKeys are the keys of the integers in the model.
+var integerKeys = integerKeysOf(reflect.TypeFor[Service](), reflect.TypeFor[Class]())
+
+func integerKeysOf(types ...reflect.Type) map[string]bool {
+	keys := map[string]bool{}
+	for _, t := range types {
+		for _, field := range reflect.VisibleFields(t) {
+			if field.Type == reflect.TypeFor[int]() || field.Type == reflect.TypeFor[int64]() {
+				key, _, _ := strings.Cut(field.Tag.Get("toml"), ",")
+				keys[key] = true
+			}
+		}
+	}
+	return keys
 }
 
 // checkIntegers reports fractions where an integer is expected; the decoder
