--- a/version/distribute/core.go
+++ b/version/distribute/core.go
@@ -204,7 +204,7 @@
 func (c *Core) rank(salt string, eligible func(Peer) bool) int {
 	ownScore, rank := score(salt, c.options.Node), 0
 	for _, p := range c.peers {
-		if s := score(salt, p.Node); eligible(p) && (s > ownScore || s == ownScore && p.Node < c.options.Node) {
+		if eligible(p) && outranks(salt, p.Node, c.options.Node, ownScore) {
 			rank++
 		}
 	}
@@ -214,6 +214,12 @@
 // score returns the rendezvous hash of a node for one duty.
 func score(salt, node string) uint64 { return xxhash.Sum64String(salt + "/" + node) }
 
+// outranks reports whether a peer precedes a node, whose score is given, in one duty.
+func outranks(salt, peer, node string, nodeScore uint64) bool {
+	s := score(salt, peer)
+	return s > nodeScore || s == nodeScore && peer < node
+}
+
 // IsReader reports whether the node is one of its failure domain's readers, which
 // read the log every ReadInterval.
 func (c *Core) IsReader() bool {
--- a/version/distribute/readers.go
+++ b/version/distribute/readers.go
@@ -54,7 +54,7 @@
 		if p.Node == self.Node || p.Domain != self.Domain || !r.counts(self, p) {
 			continue
 		}
-		if s := score(r.Salt, p.Node); r.goesBefore(self, p) || s > ownScore || s == ownScore && p.Node < self.Node {
+		if r.goesBefore(self, p) || outranks(r.Salt, p.Node, self.Node, ownScore) {
 			position++
 		}
 	}
