--- a/soak/limits.go
+++ b/soak/rates.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	turnAwayShare    = 0.5 // share of plans in which the log service turns nodes away
-	maxTurnAwayTime  = 6 * time.Second
 	rateShare        = 0.5 // share of plans in which a target names the rate that it takes
 	maxRateEvents    = 2
 	rateEventTime    = 7 * time.Second
@@ -28,15 +26,6 @@
 	Rate   float64   `json:"rate"` // requests/s
 }
 
-// addTurnAways adds times in which the log service responds to one node only. They have
-// their own random source, as reloads do.
-func (p *Plan) addTurnAways(random *rand.Rand) {
-	if random.Float64() < turnAwayShare {
-		p.Events = append(p.Events, Event{At: time.Duration(random.Int64N(int64(p.Faults))), Kind: StoreTurnAway, Subject: random.IntN(p.Nodes),
-			Duration: minEventDuration + time.Duration(random.Int64N(int64(maxTurnAwayTime)))})
-	}
-}
-
 // addTargetRates adds times in which a target names its rate and has no other fault.
 func (p *Plan) addTargetRates(random *rand.Rand) {
 	if random.Float64() >= rateShare {
@@ -56,18 +45,6 @@
 	return e.At <= other.At+other.Duration+eventMargin && other.At <= e.At+e.Duration+eventMargin
 }
 
-// turnAway makes the log service respond to one node only.
-func (in *injector) turnAway(ctx context.Context, served *node, d time.Duration) {
-	for _, n := range in.fleet.nodes {
-		if n != served {
-			n.logProxy.Drop(true, true)
-			defer n.logProxy.Reset() // data has been lost from the open connections
-			defer n.logProxy.Drop(false, false)
-		}
-	}
-	sleep(ctx, d)
-}
-
 // limitTarget makes a target name its rate.
 func (in *injector) limitTarget(ctx context.Context, t *targetProcess, d time.Duration) error {
 	limit := RateLimit{Target: t.id, From: time.Now(), Rate: namedRate}
