process/gate: a refusal without a rate does not end the limit of a target

A target that refuses a request with 503 and names no rate in that answer was taken to have no limit any more: the next response that lacks the header ended the limit, whatever it was. A target that is full and in need would be flooded until it answers a request that it ran.

The limit now ends only by a response to a request that ran. A response with status 421 comes from another process and says nothing of the target; its header is ignored.

--- a/process/gate/exchange.go
+++ b/process/gate/exchange.go
@@ -321,7 +321,7 @@
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
-	e.observeTargetHeader(incarnation, resp.Header)
+	e.observeTargetHeader(incarnation, resp)
 	e.forwardResponse(ctx, address, incarnation, resp)
 }
 
--- a/process/gate/target_header.go
+++ b/process/gate/target_header.go
@@ -6,32 +6,40 @@
 	"time"
 
 	"github.com/hyssopsill/hyssopsill/connection/targetlimit"
+	"github.com/hyssopsill/hyssopsill/process/roundtrip"
 	"github.com/hyssopsill/hyssopsill/request/attempt"
 	"github.com/hyssopsill/hyssopsill/request/record"
 )
 
 // observeTargetHeader learns from the target's response to this exchange what the
 // target says of itself: the rate of requests that it takes, and that it leaves.
-// Responses that do not name the request may be another process's.
-func (e *exchange) observeTargetHeader(incarnation attempt.Incarnation, h http.Header) {
-	if !e.namesRequest(h) {
+// Responses that do not name the request, or that refuse it as misdirected, may be
+// another process's.
+func (e *exchange) observeTargetHeader(incarnation attempt.Incarnation, resp *roundtrip.Response) {
+	if !e.namesRequest(resp.Header) || resp.StatusCode == http.StatusMisdirectedRequest {
 		return
 	}
-	e.observeRate(h)
-	if e.gate.options.HTTPProfile.SaysLeaving(h) {
+	e.observeRate(resp.Header)
+	if e.gate.options.HTTPProfile.SaysLeaving(resp.Header) {
 		e.gate.DrainProcess(e.gate.now(), e.targetID, incarnation.StartedMS)
 	}
 }
 
 // observeRate applies the rate that a response names. It ignores a value that is no
-// rate: the response neither names nor ends a limit.
+// rate: the response neither names nor ends a limit. Nor does a refusal without a rate
+// end one, as the target is still in need.
 func (e *exchange) observeRate(h http.Header) {
-	name := e.gate.options.HTTPProfile.TargetRate
+	profile := &e.gate.options.HTTPProfile
+	name := profile.TargetRate
 	if name == "" {
 		return
 	}
+	text := h.Get(name)
+	if text == "" && profile.NotExecuted != "" && h.Get(profile.NotExecuted) != "" {
+		return
+	}
 	rate, named := 0.0, false
-	if text := h.Get(name); text != "" {
+	if text != "" {
 		if rate, named = targetlimit.Parse(text); !named {
 			e.gate.log.Warn().Str("request", string(e.id.Request)).Str("target", e.targetID).Msgf("gate: header %s is %q, want requests/s as a decimal number", name, text)
 			return
