process/node: late requests of a drain are those that come after the notice of the signal

A request that arrives after the drain notice (3 s on the platform) must not be passed on if it may outlast the drain: it would be cut. The notice was counted from the moment at which the process began to drain. On a host whose processor share is used up that is up to 100 ms after the signal, and requests of these 100 ms were taken.

TestDrainNoticeBeginsWithSignal failed before: a request 90 ms after the end of the notice got 200 and would be cut if it lasted.

--- a/process/node/drain.go
+++ b/process/node/drain.go
@@ -50,11 +50,16 @@
 	n.log.Info().Msgf("node: drained in %s", n.now().Sub(startedAt).Round(time.Millisecond))
 }
 
+// maxSignalDelay is the time between a signal and the drain that it starts, on a host
+// whose processor share is used up until the end of a scheduling period of 100 ms.
+const maxSignalDelay = 100 * time.Millisecond
+
 // setDrainTimes tells the entry which requests it may still take in a drain whose
-// timeout began at from. Callers have the drain notice to learn that the node leaves.
+// timeout began at from. Callers have the drain notice to learn that the node leaves;
+// it begins with the signal.
 func (n *Node) setDrainTimes(from time.Time) {
 	if timeout := n.options.Settings.DrainTimeout; timeout > 0 {
-		n.entry.SetDrainTimes(from.Add(n.options.Settings.DrainNotice), from.Add(endWaitingAfter(timeout)))
+		n.entry.SetDrainTimes(from.Add(n.options.Settings.DrainNotice-maxSignalDelay), from.Add(endWaitingAfter(timeout)))
 	}
 }
 
--- a/process/node/drain_test.go
+++ b/process/node/drain_test.go
@@ -91,6 +91,24 @@
 	}
 }
 
+// Guards against a request that comes after the notice of the signal, is taken because the
+// drain began a little later, and is cut.
+func TestDrainNoticeBeginsWithSignal(t *testing.T) {
+	node, _ := startServingNode(t, strings.Replace(testConfig, "hedge = true", `deadline = "1m"`, 1))
+	s := &node.options.Settings
+	before := *s
+	defer func() { *s = before }()
+	s.DrainNotice, s.DrainTimeout = 20*time.Second, 40*time.Second
+	node.setDrainTimes(time.Now().Add(-s.DrainNotice + 90*time.Millisecond))
+	if status, _, body := get(node, "/kits"); status != 503 {
+		t.Errorf("a request at the end of the notice got %d, %s", status, body)
+	}
+	node.setDrainTimes(time.Now().Add(-s.DrainNotice + 10*time.Second))
+	if status, _, body := get(node, "/kits"); status != 200 {
+		t.Errorf("a request within the notice got %d, %s", status, body)
+	}
+}
+
 // Guards against a repeated signal that leaves requests refused which end in the time
 // that it gives.
 func TestRepeatedSignalExtendsTimeForLateRequests(t *testing.T) {
