request/class: calls by targets of a small service are told sooner

A gate takes a class for calls after 16 requests in a row from hosts of one service. The number is for a service with half of the hosts.

The gate knows how many hosts each service has. TestCallsOfSmallServicesAreToldSooner failed to build before; with 16 for all services it fails with 16 for 8.

--- a/process/gate/retry_budget.go
+++ b/process/gate/retry_budget.go
@@ -28,6 +28,15 @@
 		g.targetCountsSince = g.now()
 	}
 	g.targetCounts = counts
+	if g.targetCountsSettled() {
+		g.callers.SetHosts(counts)
+	}
+}
+
+// targetCountsSettled reports whether the gate has had the time to learn of the targets of
+// other hosts. The caller holds g.mu.
+func (g *Gate) targetCountsSettled() bool {
+	return g.now().Sub(g.targetCountsSince) >= targetCountSettleTime
 }
 
 // chargeRetryBudget counts a first attempt in the retry budget, or takes a retry from
@@ -92,7 +101,7 @@
 		g.retryBudgets[service] = budget
 	}
 	perSecond := 0.0
-	if n := g.targetCounts[service]; n > 0 && g.now().Sub(g.targetCountsSince) >= targetCountSettleTime {
+	if n := g.targetCounts[service]; n > 0 && g.targetCountsSettled() {
 		perSecond = retryBudgetSafetyFactor * g.options.AdditionalRetries / g.options.RetryWindow.Seconds() / float64(n)
 	}
 	budget.SetPerSecond(perSecond)
--- a/request/class/callers.go
+++ b/request/class/callers.go
@@ -1,21 +1,51 @@
 package class
 
-// calledStreak is the number of requests in a row from hosts of one service after which
-// a class is taken for one that this service's targets call. Requests of customers come
-// from the hosts of all services; with half of the hosts in one service, 1 in 65,000 of
-// their requests ends such a streak.
-const calledStreak = 16
+import "math"
+
+const (
+	// calledBits is the evidence, in bits, after which a class is taken for one that the
+	// targets of one service call. Requests of customers come from the hosts of all
+	// services; 1 in 65,000 of them ends a streak of requests from one service with that
+	// much evidence.
+	calledBits = 16
+	// minCalledStreak and maxCalledStreak bound the number of requests in such a streak. The
+	// maximum is for a service with half of the hosts, or with an unknown part of them.
+	minCalledStreak, maxCalledStreak = 4, 16
+)
 
 // Callers learns which classes of work are called by the targets of another service. A
 // request that waits for such a call occupies a slot meanwhile, and fails with it. The
 // zero value knows of no class. It is not safe for concurrent use.
-type Callers struct{ streaks map[string]*callerStreak }
+type Callers struct {
+	streaks    map[string]*callerStreak
+	hosts      map[string]int // by service
+	totalHosts int
+}
 
 type callerStreak struct {
 	service string
 	length  int
 }
 
+// SetHosts sets the number of hosts by service. The fewer of them a service has, the
+// fewer requests in a row from its hosts tell that its targets call.
+func (c *Callers) SetHosts(byService map[string]int) {
+	c.hosts, c.totalHosts = byService, 0
+	for _, n := range byService {
+		c.totalHosts += n
+	}
+}
+
+// streak returns the number of requests in a row that tell a call by a service.
+func (c *Callers) streak(service string) int {
+	n := c.hosts[service]
+	if n == 0 || n == c.totalHosts {
+		return maxCalledStreak
+	}
+	bits := math.Log2(float64(c.totalHosts) / float64(n)) // of one request
+	return min(max(int(math.Ceil(calledBits/bits)), minCalledStreak), maxCalledStreak)
+}
+
 // Observe records that a request of a class came from a host of the given service.
 func (c *Callers) Observe(class, service string) {
 	s := c.streaks[class]
@@ -35,7 +65,7 @@
 // Called reports whether the work of a class is called by the targets of one service.
 func (c *Callers) Called(class string) bool {
 	s := c.streaks[class]
-	return s != nil && s.service != "" && s.length >= calledStreak
+	return s != nil && s.service != "" && s.length >= c.streak(s.service)
 }
 
 // Prune forgets the classes for which keep returns false.
--- a/request/class/callers_test.go
+++ b/request/class/callers_test.go
@@ -41,3 +41,46 @@
 		t.Error("classes that are gone are kept")
 	}
 }
+
+// Guards against calls of a small service that are recognized late, and against requests
+// of customers that are taken for calls because a service has few hosts.
+func TestCallsOfSmallServicesAreToldSooner(t *testing.T) {
+	hosts := map[string]int{"shop": 6, "orders": 12, "library": 9}
+	for service, want := range map[string]int{"shop": 8, "orders": 14, "library": 11, "unknown": maxCalledStreak} {
+		var c Callers
+		c.SetHosts(hosts)
+		n := 0
+		for ; !c.Called("stock"); n++ {
+			c.Observe("stock", service)
+		}
+		if n != want {
+			t.Errorf("calls of %s are told after %d requests, want %d", service, n, want)
+		}
+	}
+	random := rand.New(rand.NewPCG(3, 4))
+	var services []string
+	for service, n := range hosts {
+		for range n {
+			services = append(services, service)
+		}
+	}
+	var c Callers
+	c.SetHosts(hosts)
+	mistaken := 0
+	for range 20000 {
+		c.Observe("browse", services[random.IntN(len(services))])
+		if c.Called("browse") {
+			mistaken++
+		}
+	}
+	if mistaken > 2 {
+		t.Errorf("requests of customers were taken for calls %d times in 20,000", mistaken)
+	}
+	c.SetHosts(map[string]int{"shop": 5})
+	for range maxCalledStreak - 1 {
+		c.Observe("price", "shop")
+	}
+	if c.Called("price") {
+		t.Error("told too soon where one service has all hosts")
+	}
+}
