request/retry, process/gate: no retry while a service that its target calls has used up its retry budget

A retried run makes its calls again. They count as retries at the called service, whose gates cannot refuse them: over several levels, or with several calls a run, retries break the budget of a service that they are not charged to.

A gate now reports, in responses to calls, which part of its budget and of those below it is left (Hyssopsill-Budget-Room).

Gates may now use 0.8 of the budget instead of 0.7.

--- a/process/entry/attempt.go
+++ b/process/entry/attempt.go
@@ -299,12 +299,15 @@
 	return true
 }
 
-// observeLoad reads the load and the service time from the header of the gate's
-// response, and passes the load to the selector.
+// observeLoad reads the load, the service time and the room of the retry budget from the
+// header of the gate's response, and passes the load to the selector.
 func (a *activeAttempt) observeLoad(h http.Header) {
 	if us, err := strconv.ParseInt(h.Get(attempt.HeaderServiceTime), 10, 64); err == nil {
 		a.serviceTime = time.Duration(us) * time.Microsecond
 	}
+	if room, err := strconv.ParseFloat(h.Get(attempt.HeaderBudgetRoom), 64); err == nil && room >= 0 && room <= 1 {
+		a.request.entry.options.OnCalledRoom(a.target.info.Service, room)
+	}
 	text := h.Get(attempt.HeaderLoad)
 	if text == "" {
 		return
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -49,6 +49,9 @@
 	// HostRetryShare returns the share of the work in progress at the targets of this
 	// host that is a retry. Calls of such work are retries too.
 	HostRetryShare func() float64
+	// OnCalledRoom is called with the part that is left of the retry budget of a service
+	// that targets of this host call, as one of its gates reports it.
+	OnCalledRoom func(service string, room float64)
 	// OnFailedRequest is called when a request, maybe a call of a target on this host,
 	// ends with an error status, before its caller gets the last byte.
 	OnFailedRequest func()
@@ -126,6 +129,9 @@
 	if o.HostRetryShare == nil {
 		o.HostRetryShare = func() float64 { return 0 }
 	}
+	if o.OnCalledRoom == nil {
+		o.OnCalledRoom = func(string, float64) {}
+	}
 	if o.OnFailedRequest == nil {
 		o.OnFailedRequest = func() {}
 	}
--- a/process/entry/evidence_test.go
+++ b/process/entry/evidence_test.go
@@ -30,3 +30,22 @@
 		t.Errorf("callers %d and %d, want two hashes", got.Caller, other.Caller)
 	}
 }
+
+// Guards against a gate that is not told how much is left of the retry budgets of the
+// services that its targets call.
+func TestRoomOfCalledServicesIsPassedOn(t *testing.T) {
+	var got []float64
+	e := New(Options{Node: "n1", Now: time.Now, OnCalledRoom: func(service string, room float64) {
+		if service != "library" {
+			t.Errorf("room of service %q, want library", service)
+		}
+		got = append(got, room)
+	}})
+	a := &activeAttempt{request: &request{entry: e}, target: gateTarget{info: membership.Target{Service: "library"}, member: &membership.Member{}}}
+	for _, text := range []string{"0.25", "", "NaN", "-1", "2", "x"} {
+		a.observeLoad(http.Header{attempt.HeaderBudgetRoom: {text}})
+	}
+	if len(got) != 1 || got[0] != 0.25 {
+		t.Errorf("room %v, want 0.25 only", got)
+	}
+}
--- a/process/gate/exchange.go
+++ b/process/gate/exchange.go
@@ -459,6 +459,7 @@
 	e.gate.mu.Lock()
 	load := e.gate.admission.Load(e.gate.now(), e.targetID)
 	rate, limited := e.gate.admission.Rate(e.targetID)
+	room, called := e.budgetRoom()
 	serviceTime := e.serviceTime(e.gate.now())
 	t := e.gate.targets[e.targetID]
 	unhealthy := t != nil && t.unhealthy
@@ -469,6 +470,9 @@
 	if limited {
 		h[attempt.HeaderTargetRate] = []string{formatRate(rate)}
 	}
+	if called {
+		h[attempt.HeaderBudgetRoom] = []string{strconv.FormatFloat(room, 'f', 2, 64)}
+	}
 	if unhealthy {
 		h[attempt.HeaderHint] = []string{"0"}
 	}
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -76,6 +76,7 @@
 	orders            *order.Registry // nil until Start
 	poison            *poison.Tracker
 	retryBudgets      map[string]*retry.Budget // by service
+	calledRoom        retry.CalledRoom
 	callers           class.Callers
 	failedCalls       breaker.FailedCalls // requests of this host that failed at its entry
 	targetCounts      map[string]int      // targets in the whole fleet, by service
--- a/process/gate/retry_budget.go
+++ b/process/gate/retry_budget.go
@@ -10,8 +10,8 @@
 const (
 	// retryBudgetSafetyFactor is the part of the budget that gates use. The rest is for
 	// calls that retried requests make after the budget was used up, which cannot be
-	// refused (request/retry, TestBudgetHoldsForCalls), and for targets that leave.
-	retryBudgetSafetyFactor = 0.7
+	// refused (request/retry, TestBudgetHoldsInDeepGraphs), and for targets that leave.
+	retryBudgetSafetyFactor = 0.8
 	// targetCountSettleTime is the time after the first target counts during which
 	// they may be too low. Until then no additional retries are allowed, only the
 	// share of first attempts.
@@ -40,9 +40,10 @@
 }
 
 // chargeRetryBudget counts a first attempt in the retry budget, or takes a retry from
-// it. It refuses the retry when the budget is exhausted. A first attempt may be a call by
-// work that is itself a retry, which counts as a retry at the called service; it is
-// charged by the share of such work on the host that it comes from.
+// it. It refuses the retry when the budget is exhausted, or nearly that of a service that
+// the target calls. A first attempt may be a call by work that is itself a retry, which
+// counts as a retry at the called service; it is charged by the share of such work on the
+// host that it comes from.
 func (e *exchange) chargeRetryBudget() bool {
 	g := e.gate
 	if g.options.AdditionalRetries <= 0 {
@@ -50,11 +51,15 @@
 	}
 	g.mu.Lock()
 	t := g.targets[e.targetID]
-	allowed := true
+	exhausted := ""
 	if t != nil {
 		now, budget := g.now(), g.retryBudget(t.Service)
 		if e.retry {
-			allowed = budget.Take(now)
+			if !g.calledRoom.AllowsRetry(now) {
+				exhausted = "the retry budget of a called service is nearly exhausted"
+			} else if !budget.Take(now) {
+				exhausted = "the retry budget of the service is exhausted"
+			}
 		} else {
 			budget.CountFirstAttempt(now)
 			if g.callers.Called(e.class) {
@@ -63,10 +68,31 @@
 		}
 	}
 	g.mu.Unlock()
-	if !allowed {
-		e.respondProblem(attempt.VerdictRefused, attempt.ReasonRetryBudget, "the retry budget of the service is exhausted", 0)
+	if exhausted != "" {
+		e.respondProblem(attempt.VerdictRefused, attempt.ReasonRetryBudget, exhausted, 0)
+	}
+	return exhausted == ""
+}
+
+// NoteCalledRoom records how much is left of the retry budget of a service that targets of
+// this host call, as one of its gates reports it.
+func (g *Gate) NoteCalledRoom(service string, room float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.calledRoom.Observe(g.now(), service, room)
+}
+
+// budgetRoom returns how much is left of the retry budgets that a retry of the work would
+// use, that of this gate and those of the services that its target calls. It is false for
+// work that is no call. The caller holds Gate.mu.
+func (e *exchange) budgetRoom() (float64, bool) {
+	g := e.gate
+	t := g.targets[e.targetID]
+	if t == nil || g.options.AdditionalRetries <= 0 || !g.callers.Called(e.class) {
+		return 0, false
 	}
-	return allowed
+	now := g.now()
+	return min(g.retryBudget(t.Service).Room(now), g.calledRoom.Room(now)), true
 }
 
 // RetryShare returns the share of the work in progress at this gate that is a retry, or
--- a/process/gate/retry_budget_test.go
+++ b/process/gate/retry_budget_test.go
@@ -99,6 +99,49 @@
 	}
 }
 
+// Guards against retries that make their calls again at a service whose budget is used up,
+// and against callers that are not told how much is left of it.
+func TestRetryNeedsRoomAtCalledServices(t *testing.T) {
+	clock := &fakeClock{now: time.Unix(1000, 0)}
+	g := newBudgetGate(t, clock)
+	g.SetTargetCounts(map[string]int{"shop": 1})
+	clock.now = clock.now.Add(targetCountSettleTime)
+	reported := func() string {
+		e := newExchange(g, false)
+		e.class = "stock"
+		h := http.Header{}
+		e.setLoadHeaders(h)
+		return h.Get(attempt.HeaderBudgetRoom)
+	}
+	if room := reported(); room != "" {
+		t.Errorf("work that is no call gets room %s", room)
+	}
+	for range 20 {
+		g.callers.Observe("stock", "shop")
+	}
+	if room := reported(); room != "1.00" {
+		t.Errorf("room %q before any retry, want 1.00", room)
+	}
+	for range 10 {
+		g.NoteCalledRoom("library", 0)
+	}
+	if newExchange(g, true).chargeRetryBudget() {
+		t.Error("a retry is admitted while the called service has no room")
+	}
+	if !newExchange(g, false).chargeRetryBudget() {
+		t.Error("a first attempt is refused")
+	}
+	if room := reported(); room == "1.00" || room == "" {
+		t.Errorf("room %q while the called service has none", room)
+	}
+	for range 10 {
+		g.NoteCalledRoom("library", 1)
+	}
+	if !newExchange(g, true).chargeRetryBudget() {
+		t.Error("a retry is refused though the called service has room again")
+	}
+}
+
 // Guards against a share of retries that counts work which has ended or not begun.
 func TestRetryShareOfRunningWork(t *testing.T) {
 	g := newBudgetGate(t, &fakeClock{now: time.Unix(1000, 0)})
--- a/request/retry/budget.go
+++ b/request/retry/budget.go
@@ -73,17 +73,33 @@
 // as much.
 func (b *Budget) Charge(now time.Time, retries float64) { b.bucketAt(now).retries += retries }
 
+// Room returns the part of the budget, from 0 to 1, that the window ending at now still
+// allows.
+func (b *Budget) Room(now time.Time) float64 {
+	allowed, used := b.sums(now)
+	if allowed <= 0 {
+		return 0
+	}
+	return max(0, 1-used/allowed)
+}
+
 // remaining returns the retries that the window ending at now still allows.
 func (b *Budget) remaining(now time.Time) float64 {
+	allowed, used := b.sums(now)
+	return allowed - used
+}
+
+// sums returns the retries that the window ending at now allows in all, and those used.
+func (b *Budget) sums(now time.Time) (allowed, used float64) {
 	oldest := now.Unix() - int64(len(b.buckets)) + 1
-	firstAttempts, retries := 0, 0.0
+	firstAttempts := 0
 	for _, counts := range b.buckets {
 		if counts.second >= oldest {
 			firstAttempts += counts.firstAttempts
-			retries += counts.retries
+			used += counts.retries
 		}
 	}
-	return b.opts.Share*float64(firstAttempts) + b.opts.PerSecond*float64(len(b.buckets)) - retries
+	return b.opts.Share*float64(firstAttempts) + b.opts.PerSecond*float64(len(b.buckets)), used
 }
 
 // bucketAt returns the bucket of the current second, emptied if it held an older one.
