request/class, process/gate: a class counts as called until a second service requests it

The gates of a called service share the calls. Until then calls of retried runs were not charged, and the callers were not told what is left of the budget.

For the budget a class is now taken for calls from its first request on, until a second service requests it, which for customers is after one or two. For the order of waiting work nothing changes: a mistake costs more there.

--- a/process/gate/retry_budget.go
+++ b/process/gate/retry_budget.go
@@ -62,7 +62,7 @@
 			}
 		} else {
 			budget.CountFirstAttempt(now)
-			if g.callers.Called(e.class) {
+			if g.callers.MayBeCalled(e.class) {
 				budget.Charge(now, e.callerRetries)
 			}
 		}
@@ -84,11 +84,11 @@
 
 // budgetRoom returns how much is left of the retry budgets that a retry of the work would
 // use, that of this gate and those of the services that its target calls. It is false for
-// work that is no call. The caller holds Gate.mu.
+// work of customers. The caller holds Gate.mu.
 func (e *exchange) budgetRoom() (float64, bool) {
 	g := e.gate
 	t := g.targets[e.targetID]
-	if t == nil || g.options.AdditionalRetries <= 0 || !g.callers.Called(e.class) {
+	if t == nil || g.options.AdditionalRetries <= 0 || !g.callers.MayBeCalled(e.class) {
 		return 0, false
 	}
 	now := g.now()
--- a/request/attempt/headers.go
+++ b/request/attempt/headers.go
@@ -37,7 +37,7 @@
 	HeaderForce             = "Hyssopsill-Force"          // "1": send even to a failing target, as there is no other
 	HeaderRetry             = "Hyssopsill-Repeat"         // "1": the request may have reached a target before
 	HeaderCallerRetries     = "Hyssopsill-Caller-Repeats" // share (0 to 1) of the work in progress on the entry's host that is a retry
-	HeaderBudgetRoom        = "Hyssopsill-Budget-Room"    // in responses to calls: part (0 to 1) of the retry budgets of the gate, and of what its target calls, that is left
+	HeaderBudgetRoom        = "Hyssopsill-Budget-Room"    // in responses to calls: part (0 to 1) that is left of the retry budgets of the gate and of what its target calls
 	HeaderAgeMS             = "Hyssopsill-Age-Ms"         // time since the request arrived at its entry, milliseconds
 	HeaderNoWait            = "Hyssopsill-No-Wait"        // "1": refuse as busy rather than queue
 	HeaderCalled            = "Hyssopsill-Called"         // "1", in a refusal: the gate takes the work for a call by a target
--- a/request/class/callers.go
+++ b/request/class/callers.go
@@ -25,6 +25,7 @@
 type callerStreak struct {
 	service string
 	length  int
+	mixed   bool // requests came from several services
 }
 
 // SetHosts sets the number of hosts by service. The fewer of them a service has, the
@@ -57,6 +58,7 @@
 		c.streaks[class] = s
 	}
 	if s.service != service {
+		s.mixed = s.length > 0 || s.mixed
 		s.service, s.length = service, 0
 	}
 	s.length++
@@ -68,6 +70,14 @@
 	return s != nil && s.service != "" && s.length >= c.streak(s.service)
 }
 
+// MayBeCalled reports whether the work of a class is called by the targets of one service,
+// or as far as the requests tell may be: none came from a second service. Requests of
+// customers are told from calls after one or two; calls from those of customers later.
+func (c *Callers) MayBeCalled(class string) bool {
+	s := c.streaks[class]
+	return s != nil && s.service != "" && (!s.mixed || c.Called(class))
+}
+
 // Prune forgets the classes for which keep returns false.
 func (c *Callers) Prune(keep func(class string) bool) {
 	for class := range c.streaks {
--- a/request/class/callers_test.go
+++ b/request/class/callers_test.go
@@ -84,3 +84,29 @@
 		t.Error("told too soon where one service has all hosts")
 	}
 }
+
+// Guards against calls that are not taken into account until they are recognized, and
+// against requests of customers that are taken for calls for more than a moment.
+func TestClassMayBeCalledUntilASecondServiceRequestsIt(t *testing.T) {
+	var c Callers
+	if c.MayBeCalled("stock") {
+		t.Error("a class without requests may be called")
+	}
+	for range 3 {
+		c.Observe("stock", "shop")
+		if !c.MayBeCalled("stock") || c.Called("stock") {
+			t.Errorf("may be called %v, called %v, after requests from one service", c.MayBeCalled("stock"), c.Called("stock"))
+		}
+	}
+	c.Observe("stock", "")
+	c.Observe("stock", "library")
+	if c.MayBeCalled("stock") {
+		t.Error("may be called after requests from two services")
+	}
+	for range maxCalledStreak {
+		c.Observe("stock", "library")
+	}
+	if !c.MayBeCalled("stock") {
+		t.Error("calls are not taken for calls")
+	}
+}
