request/retry: the budget holds in each window, not only from whole seconds on

The budget sums whole seconds. A window that begins within a second lost the retries of that second as soon as its tenth one began: two bursts 9.1 s apart could each take the budget of 10 s.

TestBudgetHoldsInEachWindow failed before: 40 retries in the 10 s from 0.95 s, 20 allowed. Retries of the second in which the window begins now count, first attempts of it do not.

--- a/request/retry/budget.go
+++ b/request/retry/budget.go
@@ -35,7 +35,7 @@
 // seconds. It is not safe for concurrent use.
 type Budget struct {
 	opts    Options
-	buckets []bucket // one per second of the window
+	buckets []bucket // one per second of the window, and one for the second in which it begins
 }
 
 // bucket counts the attempts of one second.
@@ -48,7 +48,7 @@
 // NewBudget returns the budget of one service.
 func NewBudget(o Options) *Budget {
 	o = o.withDefaults()
-	return &Budget{opts: o, buckets: make([]bucket, int(o.Window/time.Second))}
+	return &Budget{opts: o, buckets: make([]bucket, int(o.Window/time.Second)+1)}
 }
 
 // SetPerSecond changes the retries per second allowed in addition to Share. Nodes
@@ -89,17 +89,20 @@
 	return allowed - used
 }
 
-// sums returns the retries that the window ending at now allows in all, and those used.
+// sums returns the retries that the window ending at now allows in all, and those used. Of
+// the second in which the window begins, all retries count and no first attempts.
 func (b *Budget) sums(now time.Time) (allowed, used float64) {
-	oldest := now.Unix() - int64(len(b.buckets)) + 1
-	firstAttempts := 0
+	seconds := int64(len(b.buckets) - 1)
+	begin, firstAttempts := now.Unix()-seconds, 0
 	for _, counts := range b.buckets {
-		if counts.second >= oldest {
-			firstAttempts += counts.firstAttempts
+		if counts.second >= begin {
 			used += counts.retries
 		}
+		if counts.second > begin {
+			firstAttempts += counts.firstAttempts
+		}
 	}
-	return b.opts.Share*float64(firstAttempts) + b.opts.PerSecond*float64(len(b.buckets)), used
+	return b.opts.Share*float64(firstAttempts) + b.opts.PerSecond*float64(seconds), used
 }
 
 // bucketAt returns the bucket of the current second, emptied if it held an older one.
--- a/request/retry/retry_test.go
+++ b/request/retry/retry_test.go
@@ -239,3 +239,33 @@
 		t.Errorf("long work: %+v", d)
 	}
 }
+
+// Guards against retries that two bursts take within one window, the first late in the
+// second with which it begins and the other early in its last second.
+func TestBudgetHoldsInEachWindow(t *testing.T) {
+	const window, perSecond = 10 * time.Second, 2.0
+	b := NewBudget(Options{Share: 1e-9, PerSecond: perSecond, Window: window})
+	var taken []time.Time
+	for _, at := range []time.Duration{950 * time.Millisecond, 9500 * time.Millisecond, 10100 * time.Millisecond, 20500 * time.Millisecond} {
+		now := time.Unix(1000, 0).Add(at)
+		for range 100 {
+			if b.Take(now) {
+				taken = append(taken, now)
+			}
+		}
+	}
+	for i, from := range taken {
+		n := 0
+		for _, at := range taken[i:] {
+			if at.Sub(from) < window {
+				n++
+			}
+		}
+		if n > int(perSecond*window.Seconds()) {
+			t.Fatalf("%d retries in the 10 s from %s, 20 allowed", n, from.Sub(time.Unix(1000, 0)))
+		}
+	}
+	if len(taken) < 40 {
+		t.Errorf("%d retries in all, want 40", len(taken))
+	}
+}
