process/gate: a leaving target is not forgotten when its announcement expires

A target that leaves, by its word or in a response, was removed when its announcement expired, and with it the knowledge that it leaves. An announcement of the same process that came later made it ready again. The gate now remembers it like the withdrawal of a target that it did not know, for 30 s.

TestLateAnnouncementAfterLeavingTargetExpired failed before (Leaving:false).

--- a/process/gate/targets.go
+++ b/process/gate/targets.go
@@ -244,6 +244,9 @@
 		changes = append(changes, g.attributeCrash(now, t)...)
 		g.deliver(g.admission.Remove(now, id).Refused)
 		delete(g.targets, id)
+		if t.Leaving {
+			g.withdrawals.add(now, id, t.Incarnation.StartedMS)
+		}
 		expired = append(expired, id)
 	}
 	g.mu.Unlock()
--- a/process/gate/withdrawals.go
+++ b/process/gate/withdrawals.go
@@ -12,8 +12,8 @@
 const withdrawalMemory = 30 * time.Second
 
 // withdrawals remembers the withdrawals of targets that the gate did not know, as
-// after a restart of the node. An announcement that the target sent before its
-// withdrawal may arrive later.
+// after a restart of the node, or whose announcement has expired since. An announcement
+// that the target sent before its withdrawal may arrive later.
 type withdrawals map[string]withdrawal
 
 type withdrawal struct {
--- a/process/gate/withdrawals_test.go
+++ b/process/gate/withdrawals_test.go
@@ -40,6 +40,35 @@
 	}
 }
 
+// Guards against a leaving target that gets work again because its announcement expired
+// and another one of the same process arrives late.
+func TestLateAnnouncementAfterLeavingTargetExpired(t *testing.T) {
+	clock := &fakeClock{now: time.UnixMilli(1_700_000_000_000)}
+	g := newBudgetGate(t, clock)
+	process := attempt.Incarnation{StartedMS: clock.now.UnixMilli(), Random: 1}
+	announce := func(process attempt.Incarnation) AnnounceStatus {
+		t.Helper()
+		status, err := g.Announce("t2", Announcement{Service: "shop", Address: "127.0.0.1:7", Slots: 2, TTLMS: 3000, Incarnation: process.String()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return status
+	}
+	announce(process)
+	if _, known := g.DrainTarget(clock.now, "t2"); !known {
+		t.Fatal("the target is not known")
+	}
+	clock.now = clock.now.Add(4 * time.Second)
+	g.expireTargets(clock.now)
+	if status := announce(process); !status.Target.Leaving {
+		t.Errorf("after its announcement expired: %+v, want a leaving target", status.Target)
+	}
+	process.StartedMS = clock.now.UnixMilli()
+	if status := announce(process); status.Target.Leaving {
+		t.Errorf("its next process: %+v", status.Target)
+	}
+}
+
 // Guards against a new process of a target that never gets work, since a withdrawal of
 // the process before it arrived late or the clock of the host stepped back.
 func TestWithdrawalDoesNotConcernLaterProcess(t *testing.T) {
