review: additional bytes of an instance are delivered as an answer

The gate takes a response without a request ID for the current request's, also on a connection that has served other requests. A faulty instance that sends a copy of an earlier answer without its ID, late, thereby answers the next order on the connection.

--- /dev/null
+++ b/review/casetool/instance.go
@@ -0,0 +1,350 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Header fields of the protocol.
+const (
+	headerRequestID   = "X-Hyssopsill-Request-Id"
+	headerDeadline    = "X-Hyssopsill-Deadline-Ms"
+	headerTarget      = "X-Hyssopsill-Target-Instance"
+	headerNotExecuted = "X-Hyssopsill-Not-Executed"
+	headerSignature   = "X-Hyssopsill-Response-Signature"
+	headerInstance    = "X-Hyssopsill-Instance-Id"
+)
+
+const (
+	healthPath  = "/health"
+	queueLength = 52
+	coldTime    = 3 * time.Second
+	workTime    = 150 * time.Millisecond
+)
+
+// run is one request that an instance began to work on.
+type run struct {
+	at       time.Time // when the request reached the instance
+	instance string
+	id       string
+	method   string
+}
+
+// instance is one application instance, as the protocol page describes it.
+type instance struct {
+	machine  *machine
+	id       string
+	born     int64 // Unix milliseconds
+	listener net.Listener
+	slots    chan struct{}
+	ctx      context.Context
+	cancel   context.CancelFunc
+
+	mu       sync.Mutex
+	sequence int
+	state    string // ready or draining
+	silent   bool   // it sends no heartbeats any more
+	runs     []run
+	waiting  int
+	conns    map[net.Conn]struct{}
+	// extra, if set, returns bytes that the instance sends before its next answer on a
+	// kept connection.
+	extra func(c *instanceConn) []byte
+}
+
+// instanceConn is a connection of an instance.
+type instanceConn struct {
+	net.Conn
+	reader   *bufio.Reader
+	answered int    // answers so far
+	lastID   string // request of the last answer
+}
+
+func newInstance(m *machine) (*instance, error) {
+	l, err := net.Listen("tcp", m.address(appPort))
+	if err != nil {
+		return nil, err
+	}
+	i := &instance{machine: m, id: fmt.Sprintf("i-%08x", rand.Uint32()), listener: l, slots: make(chan struct{}, slots), state: "ready", conns: map[net.Conn]struct{}{}}
+	i.ctx, i.cancel = context.WithCancel(context.Background())
+	return i, nil
+}
+
+func (i *instance) start(ctx context.Context) {
+	i.born = time.Now().UnixMilli()
+	i.machine.fleet.rec.line("instance %s of %s starts on %s", i.id, i.machine.service, i.machine.name)
+	go i.serve()
+	go i.beat(ctx)
+}
+
+func (i *instance) serve() {
+	for {
+		c, err := i.listener.Accept()
+		if err != nil {
+			return
+		}
+		i.mu.Lock()
+		i.conns[c] = struct{}{}
+		i.mu.Unlock()
+		go i.serveConn(&instanceConn{Conn: c, reader: bufio.NewReader(c)})
+	}
+}
+
+func (i *instance) serveConn(c *instanceConn) {
+	defer func() {
+		_ = c.Close()
+		i.mu.Lock()
+		delete(i.conns, c.Conn)
+		i.mu.Unlock()
+	}()
+	for {
+		req, err := http.ReadRequest(c.reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		answer := i.answer(c, req)
+		if answer == nil {
+			return
+		}
+		if _, err := c.Write(answer); err != nil {
+			return
+		}
+		c.answered, c.lastID = c.answered+1, req.Header.Get(headerRequestID)
+	}
+}
+
+// answer runs a request and returns the bytes of its answer.
+func (i *instance) answer(c *instanceConn, req *http.Request) []byte {
+	id := req.Header.Get(headerRequestID)
+	switch {
+	case req.URL.Path == healthPath:
+		i.mu.Lock()
+		ready := i.state == "ready"
+		i.mu.Unlock()
+		if !ready {
+			return formatAnswer(http.StatusServiceUnavailable, "", headerInstance, i.id)
+		}
+		return formatAnswer(http.StatusOK, "", headerInstance, i.id)
+	case id == "":
+		return formatAnswer(http.StatusBadRequest, "", headerNotExecuted, "1")
+	case req.Header.Get(headerTarget) != "" && req.Header.Get(headerTarget) != i.id:
+		return formatAnswer(http.StatusMisdirectedRequest, "", headerInstance, i.id, headerRequestID, id)
+	}
+	deadline, err := strconv.Atoi(req.Header.Get(headerDeadline))
+	if err != nil {
+		deadline = int(time.Minute.Milliseconds())
+	}
+	if !i.takeSlot(time.Duration(deadline) * time.Millisecond) {
+		return formatAnswer(http.StatusServiceUnavailable, "", headerNotExecuted, "1", headerRequestID, id)
+	}
+	defer func() { <-i.slots }()
+	i.mu.Lock()
+	i.runs = append(i.runs, run{time.Now(), i.id, id, req.Method})
+	extra := i.extra
+	i.mu.Unlock()
+	i.machine.fleet.rec.line("run %s %s %s at %s of %s", req.Method, req.URL.Path, id, i.id, i.machine.service)
+	select {
+	case <-time.After(workTime):
+	case <-i.ctx.Done():
+		return nil
+	}
+	body := i.bodyFor(id)
+	answer := formatAnswer(http.StatusOK, body, headerRequestID, id, headerSignature, signature(body))
+	if extra != nil {
+		answer = append(extra(c), answer...)
+	}
+	return answer
+}
+
+// bodyFor returns the body of the answer to a request.
+func (i *instance) bodyFor(id string) string {
+	return fmt.Sprintf("request %s ran at %s of %s\n", id, i.id, i.machine.service)
+}
+
+// setExtra sets the source of extra bytes, nil for none.
+func (i *instance) setExtra(next func(*instanceConn) []byte) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.extra = next
+}
+
+// takeSlot waits for a slot. It reports false when the queue is full or the deadline
+// passes.
+func (i *instance) takeSlot(limit time.Duration) bool {
+	i.mu.Lock()
+	full := i.waiting >= queueLength
+	if !full {
+		i.waiting++
+	}
+	i.mu.Unlock()
+	if full {
+		return false
+	}
+	defer func() {
+		i.mu.Lock()
+		i.waiting--
+		i.mu.Unlock()
+	}()
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case i.slots <- struct{}{}:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
+func signature(body string) string {
+	sum := sha256.Sum256([]byte(body))
+	return hex.EncodeToString(sum[:8])
+}
+
+// formatAnswer returns a response with the header fields given as names and values.
+func formatAnswer(status int, body string, fields ...string) []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	for k := 0; k+1 < len(fields); k += 2 {
+		fmt.Fprintf(&b, "%s: %s\r\n", fields[k], fields[k+1])
+	}
+	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(body), body)
+	return b.Bytes()
+}
+
+// heartbeat is the body of a heartbeat. Fields whose value is nil are left out.
+type heartbeat map[string]any
+
+// nextHeartbeat returns the next heartbeat of the instance.
+func (i *instance) nextHeartbeat() heartbeat {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.sequence++
+	cold := max(0, coldTime-time.Since(time.UnixMilli(i.born)))
+	return heartbeat{
+		"address": i.machine.address(appPort),
+		"born":    i.born,
+		"info":    map[string]any{"service": i.machine.service, "version": "v1", "zone": i.machine.zone, "slots": slots},
+		"status":  map[string]any{"state": i.state, "sequence": i.sequence, "coldRemainingMs": cold.Milliseconds()},
+	}
+}
+
+// beat sends heartbeats until the instance exits.
+func (i *instance) beat(ctx context.Context) {
+	for {
+		i.mu.Lock()
+		silent := i.silent
+		i.mu.Unlock()
+		if !silent {
+			i.sendHeartbeat(ctx, i.nextHeartbeat())
+		}
+		select {
+		case <-i.ctx.Done():
+			return
+		case <-ctx.Done():
+			return
+		case <-time.After(heartbeatInterval):
+		}
+	}
+}
+
+// sendHeartbeat delivers a heartbeat to the node of the machine and reports whether it
+// was acknowledged.
+func (i *instance) sendHeartbeat(ctx context.Context, hb heartbeat) bool {
+	body, err := json.Marshal(hb)
+	if err != nil {
+		panic(err) // a heartbeat has only values that always marshal
+	}
+	return i.call(ctx, "/Instances.Heartbeat/"+i.id, body) == nil
+}
+
+// drain reports that the instance leaves, and returns the time of the acknowledgement.
+func (i *instance) drain(ctx context.Context) (time.Time, error) {
+	i.mu.Lock()
+	i.state = "draining"
+	i.mu.Unlock()
+	if !i.sendHeartbeat(ctx, i.nextHeartbeat()) {
+		return time.Time{}, fmt.Errorf("%w: the node does not acknowledge that %s leaves", errNotRun, i.id)
+	}
+	at := time.Now()
+	i.machine.fleet.rec.line("instance %s: state draining is acknowledged", i.id)
+	return at, nil
+}
+
+// deregister deregisters the instance, which sends no heartbeats from then on, and
+// returns the time of the acknowledgement.
+func (i *instance) deregister(ctx context.Context) (time.Time, error) {
+	i.mu.Lock()
+	i.state, i.silent = "draining", true
+	i.mu.Unlock()
+	body := fmt.Sprintf(`{"born":%d}`, i.born)
+	if err := i.call(ctx, "/Instances.Deregister/"+i.id, []byte(body)); err != nil {
+		return time.Time{}, fmt.Errorf("%w: deregistration of %s: %w", errNotRun, i.id, err)
+	}
+	at := time.Now()
+	i.machine.fleet.rec.line("instance %s: deregistration is acknowledged", i.id)
+	return at, nil
+}
+
+// call calls the node of the machine. An answer other than 2xx, or none within a
+// second, is an error.
+func (i *instance) call(ctx context.Context, path string, body []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+i.machine.address(controlPort)+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := i.machine.fleet.client.Do(req)
+	if err != nil {
+		i.machine.fleet.rec.line("call %s %s: %v", path, body, err)
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, 4<<10)) // only for the record
+	if resp.StatusCode/100 != 2 {
+		i.machine.fleet.rec.line("call %s %s: status %d %s", path, body, resp.StatusCode, bytes.TrimSpace(text))
+		return errors.New(resp.Status)
+	}
+	return nil
+}
+
+// exit ends the instance with its connections.
+func (i *instance) exit() {
+	i.cancel()
+	_ = i.listener.Close()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for c := range i.conns {
+		_ = c.Close()
+	}
+}
+
+// runsAfter returns the runs of requests that reached the instance after t.
+func (i *instance) runsAfter(t time.Time) []run {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	var after []run
+	for _, r := range i.runs {
+		if r.at.After(t) {
+			after = append(after, r)
+		}
+	}
+	return after
+}
