review: a version is late when the connections to the store go silent

A node reads the configuration with a wait of up to 19.7 s and sees only after it that the connection is silent. All nodes' connections go silent at once, so that none is there to forward the change. review/casetool also gets a request that crashes instances, for the next case.

--- a/review/casetool/client.go
+++ b/review/casetool/client.go
@@ -69,8 +69,13 @@
 	results []exchangeResult
 }
 
-// startTraffic sends requests until stop is called.
+// startTraffic sends requests to all machines until stop is called.
 func (f *fleet) startTraffic(ctx context.Context, perSecond float64, method, host, path string, deadline time.Duration) *traffic {
+	return f.startTrafficAt(ctx, f.machines, perSecond, method, host, path, deadline)
+}
+
+// startTrafficAt sends requests to some machines until stop is called.
+func (f *fleet) startTrafficAt(ctx context.Context, machines []*machine, perSecond float64, method, host, path string, deadline time.Duration) *traffic {
 	ctx, cancel := context.WithCancel(ctx)
 	t := &traffic{stop: cancel, done: make(chan struct{})}
 	go func() {
@@ -85,7 +90,7 @@
 				return
 			case <-ticker.C:
 			}
-			m := f.machines[n%len(f.machines)]
+			m := machines[n%len(machines)]
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
--- a/review/casetool/fleet.go
+++ b/review/casetool/fleet.go
@@ -57,6 +57,9 @@
 	client   *http.Client
 	startAt  time.Time
 	closers  []func()
+	workTime time.Duration // of each request at an instance
+	// crashes, if set, reports whether a request crashes the instance that runs it.
+	crashes func(*http.Request) bool
 }
 
 // machine is one host of the platform.
@@ -83,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{rec: rec, store: newStore(), dir: dir, network: network,
+	f := &fleet{rec: rec, store: newStore(), dir: dir, network: network, workTime: defaultWork,
 		client: &http.Client{
 			Transport:     &http.Transport{DisableCompression: true, DisableKeepAlives: true},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -263,7 +266,9 @@
 		}
 	}
 	for _, m := range f.machines {
+		m.mu.Lock()
 		m.instance.exit()
+		m.mu.Unlock()
 	}
 	for _, c := range f.closers {
 		c()
--- a/review/casetool/instance.go
+++ b/review/casetool/instance.go
@@ -26,13 +26,14 @@
 	headerNotExecuted = "X-Hyssopsill-Not-Executed"
 	headerSignature   = "X-Hyssopsill-Response-Signature"
 	headerInstance    = "X-Hyssopsill-Instance-Id"
+	headerCaller      = "X-Hyssopsill-Caller-Service"
 )
 
 const (
 	healthPath  = "/health"
 	queueLength = 52
 	coldTime    = 3 * time.Second
-	workTime    = 150 * time.Millisecond
+	defaultWork = 150 * time.Millisecond
 )
 
 // run is one request that an instance began to work on.
@@ -52,6 +53,8 @@
 	slots    chan struct{}
 	ctx      context.Context
 	cancel   context.CancelFunc
+	// startContext ends with the case.
+	startContext context.Context
 
 	mu       sync.Mutex
 	sequence int
@@ -84,7 +87,7 @@
 }
 
 func (i *instance) start(ctx context.Context) {
-	i.born = time.Now().UnixMilli()
+	i.born, i.startContext = time.Now().UnixMilli(), ctx
 	i.machine.fleet.rec.line("instance %s of %s starts on %s", i.id, i.machine.service, i.machine.name)
 	go i.serve()
 	go i.beat(ctx)
@@ -159,8 +162,12 @@
 	extra := i.extra
 	i.mu.Unlock()
 	i.machine.fleet.rec.line("run %s %s %s at %s of %s", req.Method, req.URL.Path, id, i.id, i.machine.service)
+	if crashes := i.machine.fleet.crashes; crashes != nil && crashes(req) {
+		i.crash(i.startContext)
+		return nil
+	}
 	select {
-	case <-time.After(workTime):
+	case <-time.After(i.machine.fleet.workTime):
 	case <-i.ctx.Done():
 		return nil
 	}
@@ -332,6 +339,9 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for c := range i.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // as when the process ends with unread bytes
+		}
 		_ = c.Close()
 	}
 }
--- a/review/casetool/main.go
+++ b/review/casetool/main.go
@@ -42,6 +42,7 @@
 	"restart-late-beat":  playRestartLateBeat,
 	"silent-store":       playSilentStore,
 	"anonymous-response": playAnonymousResponse,
+	"poison":             playPoison,
 }
 
 // Nodes get SIGKILL when the thread that started them ends. The main thread lives as
