--- a/review/casetool/extra.go
+++ b/review/casetool/extra.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	extraShare     = 33 // one of so many answers is followed by extra bytes: x = 0.03
+	extraEvery     = 33 // answers; x = 0.03
 	extraWindows   = 4
 	extraWindow    = 5 * time.Second // for_s
 	extraPause     = 2 * time.Second
@@ -68,7 +68,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.answers++
-	if c.answered == 0 || s.answers < extraShare {
+	if c.answered == 0 || s.answers < extraEvery {
 		return nil
 	}
 	s.answers = 0
--- a/review/casetool/main.go
+++ b/review/casetool/main.go
@@ -18,12 +18,18 @@
 
 // Exit statuses of a case.
 const (
-	exitHeld     = 0
-	exitBroken   = 1
-	exitNotRun   = 2
-	maxCaseTime  = 115 * time.Second
-	troubleName  = "TROUBLE"
-	troubleIsOff = "0"
+	exitHeld   = 0
+	exitBroken = 1
+	exitNotRun = 2
+)
+
+// maxCaseTime leaves time for the end of the processes within the 120 s of a script.
+const maxCaseTime = 105 * time.Second
+
+// The disruption is left out when the environment variable TROUBLE is 0.
+const (
+	troubleName = "TROUBLE"
+	troubleOff  = "0"
 )
 
 // errNotRun marks a case that could not run.
@@ -79,7 +85,7 @@
 		return exitNotRun
 	}
 	defer f.close()
-	trouble := os.Getenv(troubleName) != troubleIsOff
+	trouble := os.Getenv(troubleName) != troubleOff
 	rec.line("case %s, disruption: %t", name, trouble)
 	v, err := cases[name](ctx, f, trouble)
 	if err == nil && ctx.Err() != nil {
--- a/review/casetool/silent.go
+++ b/review/casetool/silent.go
@@ -10,7 +10,7 @@
 const (
 	sinceSilence   = stabilityWindow + 200*time.Millisecond // from a silence to the next version
 	observeEvery   = 100 * time.Millisecond
-	roundsEnd      = 80 * time.Second // no round begins later
+	roundsEnd      = 75 * time.Second // no round begins later
 	maxStaleRounds = 3
 	convergeLimit  = 22 * time.Second
 	readDeadline   = 5 * time.Second
--- a/review/casetool/store.go
+++ b/review/casetool/store.go
@@ -23,14 +23,13 @@
 }
 
 const (
-	appendTime      = 4 * time.Millisecond
-	keyedPrefix     = "keyed."
-	operatorTopic   = "keyed.op"
-	operatorKey     = "config"
-	maxStoreWait    = 30 * time.Second
-	maxStoreCall    = 2 << 20
-	recordLenBytes  = 4
-	storeWriteLimit = 403
+	appendTime     = 4 * time.Millisecond // appendMs
+	keyedPrefix    = "keyed."
+	operatorTopic  = "keyed.op" // the system may not write to it
+	operatorKey    = "config"
+	maxStoreWait   = 30 * time.Second
+	maxStoreCall   = 2 << 20 // callBytes
+	recordLenBytes = 4
 )
 
 func newStore() *store { return &store{topics: map[string][][]byte{}, changed: make(chan struct{})} }
@@ -68,7 +67,7 @@
 func (s *store) serveAppend(w http.ResponseWriter, r *http.Request) {
 	topic := r.URL.Query().Get("topic")
 	if topic == operatorTopic {
-		w.WriteHeader(storeWriteLimit)
+		w.WriteHeader(http.StatusForbidden)
 		return
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxStoreCall))
