--- a/review/casetool/instance.go
+++ b/review/casetool/instance.go
@@ -18,17 +18,6 @@
 	"time"
 )
 
-// Header fields of the protocol.
-const (
-	headerRequestID   = "X-Hyssopsill-Request-Id"
-	headerDeadline    = "X-Hyssopsill-Deadline-Ms"
-	headerTarget      = "X-Hyssopsill-Target-Instance"
-	headerNotExecuted = "X-Hyssopsill-Not-Executed"
-	headerSignature   = "X-Hyssopsill-Response-Signature"
-	headerInstance    = "X-Hyssopsill-Instance-Id"
-	headerCaller      = "X-Hyssopsill-Caller-Service"
-)
-
 const (
 	healthPath  = "/health"
 	queueLength = 52
@@ -247,7 +236,7 @@
 		"address": i.machine.address(appPort),
 		"born":    i.born,
 		"info":    map[string]any{"service": i.machine.service, "version": "v1", "zone": i.machine.zone, "slots": slots},
-		"status":  map[string]any{"state": i.state, "sequence": i.sequence, "coldRemainingMs": cold.Milliseconds()},
+		"status":  map[string]any{"state": i.state, "sequence": i.sequence, wire.Heartbeat.Cold: cold.Milliseconds()},
 	}
 }
 
@@ -277,7 +266,7 @@
 	if err != nil {
 		panic(err) // a heartbeat has only values that always marshal
 	}
-	return i.call(ctx, "/Instances.Heartbeat/"+i.id, body) == nil
+	return i.call(ctx, wire.Calls.Heartbeat+i.id, body) == nil
 }
 
 // drain reports that the instance leaves, and returns the time of the acknowledgement.
@@ -300,7 +289,7 @@
 	i.state, i.silent = "draining", true
 	i.mu.Unlock()
 	body := fmt.Sprintf(`{"born":%d}`, i.born)
-	if err := i.call(ctx, "/Instances.Deregister/"+i.id, []byte(body)); err != nil {
+	if err := i.call(ctx, wire.Calls.Deregister+i.id, []byte(body)); err != nil {
 		return time.Time{}, fmt.Errorf("%w: deregistration of %s: %w", errNotRun, i.id, err)
 	}
 	at := time.Now()
