--- a/review/casetool/extra.go
+++ b/review/casetool/extra.go
@@ -10,16 +10,16 @@
 )
 
 const (
-	extraEvery     = 33 // answers; x = 0.03
+	extraEvery     = 34                     // answers, so that their share stays below x = 0.03
+	extraDelay     = 100 * time.Millisecond // after the complete answer
 	extraWindows   = 4
 	extraWindow    = 5 * time.Second // for_s
 	extraPause     = 2 * time.Second
 	ordersForExtra = 45 // a second
 )
 
-// playAnonymousResponse lets one instance of the orders service send extra bytes after
-// some of its complete answers. They arrive late, when the next answer is due on the
-// connection.
+// playAnonymousResponse lets one instance of the orders service send extra bytes a moment
+// after some of its complete answers, whatever happens on the connection meanwhile.
 func playAnonymousResponse(ctx context.Context, f *fleet, trouble bool) (verdict, error) {
 	if err := addOrderMachines(f); err != nil {
 		return verdict{}, err
@@ -55,8 +55,8 @@
 		foreign, len(results), source.sent)}, nil
 }
 
-// extraSource makes the extra bytes of a faulty instance: a copy of its earlier answer on
-// the connection, without the request's identity.
+// extraSource makes the extra bytes of a faulty instance: a copy of its last answer on the
+// connection, without the request's identity.
 type extraSource struct {
 	instance *instance
 
@@ -64,16 +64,16 @@
 	answers, sent int
 }
 
-func (s *extraSource) next(c *instanceConn) []byte {
+func (s *extraSource) next(id string) []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.answers++
-	if c.answered == 0 || s.answers < extraEvery {
+	if s.answers < extraEvery {
 		return nil
 	}
 	s.answers = 0
 	s.sent++
-	body := s.instance.bodyFor(c.lastID)
-	s.instance.machine.fleet.rec.line("instance %s sends extra bytes after its answer to %s, late", s.instance.id, c.lastID)
+	body := s.instance.bodyFor(id)
+	s.instance.machine.fleet.rec.line("instance %s sends extra bytes %s after its answer to %s", s.instance.id, extraDelay, id)
 	return formatAnswer(http.StatusOK, body, headerSignature, signature(body))
 }
--- a/review/casetool/instance.go
+++ b/review/casetool/instance.go
@@ -52,17 +52,9 @@
 	runs     []run
 	waiting  int
 	conns    map[net.Conn]struct{}
-	// extra, if set, returns bytes that the instance sends before its next answer on a
-	// kept connection.
-	extra func(c *instanceConn) []byte
-}
-
-// instanceConn is a connection of an instance.
-type instanceConn struct {
-	net.Conn
-	reader   *bufio.Reader
-	answered int    // answers so far
-	lastID   string // request of the last answer
+	// extra, if set, returns bytes that the instance sends extraDelay after its answer to
+	// a request, nil for none.
+	extra func(id string) []byte
 }
 
 func newInstance(m *machine) (*instance, error) {
@@ -91,38 +83,41 @@
 		i.mu.Lock()
 		i.conns[c] = struct{}{}
 		i.mu.Unlock()
-		go i.serveConn(&instanceConn{Conn: c, reader: bufio.NewReader(c)})
+		go i.serveConn(c)
 	}
 }
 
-func (i *instance) serveConn(c *instanceConn) {
+func (i *instance) serveConn(c net.Conn) {
 	defer func() {
 		_ = c.Close()
 		i.mu.Lock()
-		delete(i.conns, c.Conn)
+		delete(i.conns, c)
 		i.mu.Unlock()
 	}()
+	reader := bufio.NewReader(c)
 	for {
-		req, err := http.ReadRequest(c.reader)
+		req, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
 		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
-		answer := i.answer(c, req)
+		answer := i.answer(req)
 		if answer == nil {
 			return
 		}
 		if _, err := c.Write(answer); err != nil {
 			return
 		}
-		c.answered, c.lastID = c.answered+1, req.Header.Get(headerRequestID)
+		if id := req.Header.Get(headerRequestID); id != "" {
+			i.sendExtra(c, id)
+		}
 	}
 }
 
 // answer runs a request and returns the bytes of its answer.
-func (i *instance) answer(c *instanceConn, req *http.Request) []byte {
+func (i *instance) answer(req *http.Request) []byte {
 	id := req.Header.Get(headerRequestID)
 	switch {
 	case req.URL.Path == healthPath:
@@ -148,7 +143,6 @@
 	defer func() { <-i.slots }()
 	i.mu.Lock()
 	i.runs = append(i.runs, run{time.Now(), i.id, id, req.Method})
-	extra := i.extra
 	i.mu.Unlock()
 	i.machine.fleet.rec.line("run %s %s %s at %s of %s", req.Method, req.URL.Path, id, i.id, i.machine.service)
 	if crashes := i.machine.fleet.crashes; crashes != nil && crashes(req) {
@@ -161,11 +155,7 @@
 		return nil
 	}
 	body := i.bodyFor(id)
-	answer := formatAnswer(http.StatusOK, body, headerRequestID, id, headerSignature, signature(body))
-	if extra != nil {
-		answer = append(extra(c), answer...)
-	}
-	return answer
+	return formatAnswer(http.StatusOK, body, headerRequestID, id, headerSignature, signature(body))
 }
 
 // bodyFor returns the body of the answer to a request.
@@ -174,12 +164,25 @@
 }
 
 // setExtra sets the source of extra bytes, nil for none.
-func (i *instance) setExtra(next func(*instanceConn) []byte) {
+func (i *instance) setExtra(next func(id string) []byte) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.extra = next
 }
 
+// sendExtra sends the extra bytes after the answer to a request, if there are any.
+func (i *instance) sendExtra(c net.Conn, id string) {
+	i.mu.Lock()
+	extra := i.extra
+	i.mu.Unlock()
+	if extra == nil {
+		return
+	}
+	if data := extra(id); data != nil {
+		time.AfterFunc(extraDelay, func() { _, _ = c.Write(data) }) // fails only if the connection is closed
+	}
+}
+
 // takeSlot waits for a slot. It reports false when the queue is full or the deadline
 // passes.
 func (i *instance) takeSlot(limit time.Duration) bool {
