request/poison: a success of another caller clears no suspect

Cause: the digest left out the caller, so each success of another caller's equal request cleared the suspect and lifted its quarantine. Change: the digest covers the caller that a target sees. A second digest without the caller is quarantined when no single request explains the crashes after the first (three), so that a request that crashes targets whoever sends it does not cost two for each caller. Reports of that digest are a part of their own that earlier releases ignore.

--- a/cmd/hyssopsilld/e2e_test.go
+++ b/cmd/hyssopsilld/e2e_test.go
@@ -634,6 +634,50 @@
 	}
 }
 
+// Guards against a request that crashes a target each time its customer sends it, since
+// the same request of another customer succeeds, and against a quarantine of the other
+// customer's request.
+func TestPoisonousRequestOfOneCustomerIsQuarantined(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, false)
+	f.publish(testConfig)
+	var targets []*targetProcess
+	var ids []string
+	for i := range 8 {
+		id := fmt.Sprintf("t%d", i+1)
+		p := f.addTarget(f.nodes[i%2], id, "shop")
+		targets, ids = append(targets, p), append(ids, id)
+	}
+	f.waitReady(ids...)
+	for _, p := range targets {
+		p.setFaults(t, `{"crash_on":"kits","crash_customer":"a"}`)
+	}
+	for i := range 6 {
+		f.nodes[i%2].sendRequest("GET", "/kits", "", "X-Customer", "a")
+		for range 4 { // an innocent copy may be refused until the success of another is known
+			f.nodes[i%2].sendRequest("GET", "/kits", "", "X-Customer", "b")
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	crashed := 0
+	for _, p := range targets {
+		select {
+		case <-p.exited:
+			crashed++
+		default:
+		}
+	}
+	if crashed > 2 {
+		t.Errorf("%d targets crashed, want at most 2", crashed)
+	}
+	if resp := f.nodes[0].sendRequest("GET", "/kits", "", "X-Customer", "a"); resp.reason != "quarantined" {
+		t.Errorf("request that crashes targets: got %+v, want the quarantine", resp)
+	}
+	if resp := f.nodes[0].sendRequest("GET", "/kits", "", "X-Customer", "b"); resp.status != 200 {
+		t.Errorf("the same request of another customer: got %+v", resp)
+	}
+}
+
 // Guards against a node that buffers a large body in memory instead of forwarding
 // it, in either direction.
 func TestLargeBodiesKeepMemoryFlat(t *testing.T) {
--- a/process/entry/attempt.go
+++ b/process/entry/attempt.go
@@ -231,7 +231,7 @@
 	q := a.request
 	remaining := q.deadline.Sub(q.entry.now())
 	remaining = max(time.Millisecond, remaining-min(gateDeadlineMargin, remaining/10))
-	fields := make([]roundtrip.Field, 0, 12)
+	fields := make([]roundtrip.Field, 0, 13)
 	fields = append(fields,
 		roundtrip.Field{Name: attempt.HeaderAttempt, Value: a.id},
 		roundtrip.Field{Name: attempt.HeaderFleet, Value: q.entry.options.Token},
@@ -241,7 +241,8 @@
 		roundtrip.Field{Name: attempt.HeaderCustomer, Value: q.customer},
 		roundtrip.Field{Name: attempt.HeaderTimeoutMS, Value: strconv.FormatInt(remaining.Milliseconds(), 10)},
 		roundtrip.Field{Name: attempt.HeaderConfigVersion, Value: strconv.FormatInt(q.routing.config.Version, 10)},
-		roundtrip.Field{Name: attempt.HeaderRequestDigest, Value: strconv.FormatUint(uint64(q.digest), 16)},
+		roundtrip.Field{Name: attempt.HeaderRequestDigest, Value: strconv.FormatUint(uint64(q.poison.Digest), 16)},
+		roundtrip.Field{Name: attempt.HeaderSharedDigest, Value: strconv.FormatUint(uint64(q.poison.Shared), 16)},
 	)
 	if q.class.Idempotent {
 		fields = append(fields, roundtrip.Field{Name: attempt.HeaderIdempotent, Value: "1"})
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -63,8 +63,8 @@
 	// Quarantined reports whether this node knows that a request digest is
 	// quarantined. OnCrash receives each crash that a gate reports, so that this
 	// node knows of it before gossip delivers it.
-	Quarantined func(poison.RequestDigest) bool
-	OnCrash     func(poison.Report)
+	Quarantined func(poison.Request) bool
+	OnCrash     func(poison.Reports)
 
 	noVerify bool // for tests: responses of gates are not verified
 }
@@ -136,10 +136,10 @@
 		o.OnFailedRequest = func() {}
 	}
 	if o.Quarantined == nil {
-		o.Quarantined = func(poison.RequestDigest) bool { return false }
+		o.Quarantined = func(poison.Request) bool { return false }
 	}
 	if o.OnCrash == nil {
-		o.OnCrash = func(poison.Report) {}
+		o.OnCrash = func(poison.Reports) {}
 	}
 	e := &Entry{
 		options: o, now: o.Now, log: o.Log, rand: o.Rand,
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -199,7 +199,7 @@
 			h.Set(attempt.HeaderReason, string(attempt.ReasonTargetCrashed))
 			attempt.NewProblem("", attempt.Unknown, attempt.ReasonTargetCrashed, "", 0).Write(w)
 		}, false, 3)
-		server.Config.Handler.(*Entry).options.Quarantined = func(poison.RequestDigest) bool { return quarantined && attempts.Load() > 0 }
+		server.Config.Handler.(*Entry).options.Quarantined = func(poison.Request) bool { return quarantined && attempts.Load() > 0 }
 		resp, err := http.Get(server.URL + "/kits")
 		if err != nil {
 			t.Fatal(err)
--- a/process/entry/request.go
+++ b/process/entry/request.go
@@ -47,7 +47,7 @@
 
 	body           []byte // buffered prefix of the body; all of it when bodyRest is nil
 	bodyRest       *upload
-	digest         poison.RequestDigest
+	poison         poison.Request
 	skipHeader     func(string) bool
 	history        []attemptState
 	round          int           // index in history of the first attempt since the last wait for a target
--- a/process/entry/run.go
+++ b/process/entry/run.go
@@ -15,14 +15,15 @@
 
 // run makes the attempts of a request.
 func (q *request) run() {
-	q.digest = poison.DigestOf(q.service, q.callerRequest.Method, q.callerRequest.URL.Path, q.callerRequest.URL.RawQuery, q.body)
+	u := q.callerRequest.URL
+	q.poison = poison.RequestOf(q.service, q.callerRequest.Method, u.Path, u.RawQuery, q.callerName(), q.body)
 	ctx, cancel := context.WithDeadline(q.callerRequest.Context(), q.deadline)
 	defer cancel()
 	ctx, cancelWith := context.WithCancelCause(ctx)
 	defer cancelWith(nil)
 	q.exemptFromStop = context.AfterFunc(q.entry.stopping, func() { cancelWith(errStopping) })
 	defer q.exemptFromStop()
-	if q.entry.options.Quarantined(q.digest) {
+	if q.entry.options.Quarantined(q.poison) {
 		q.refuse(attempt.NotRun, attempt.ReasonQuarantined, whyCrashes, 0)
 		return
 	}
@@ -64,7 +65,7 @@
 			decision = retry.Decision{Action: retry.Stop, Why: "the body cannot be sent again or the deadline has passed", Outcome: q.provedOutcome()}
 		}
 		// The crash that just ended this attempt may have completed the quarantine.
-		if decision.Action == retry.Retry && (q.countCrashes() >= maxCrashes || q.entry.options.Quarantined(q.digest)) {
+		if decision.Action == retry.Retry && (q.countCrashes() >= maxCrashes || q.entry.options.Quarantined(q.poison)) {
 			decision = retry.Decision{Action: retry.Stop, Why: whyCrashes, Outcome: q.provedOutcome()}
 		}
 		if best != nil && best.streamed && decision.Action != retry.Stop { // a large response is not kept until a better one arrives
@@ -79,6 +80,15 @@
 	}
 }
 
+// callerName returns the caller that a target sees: the service of this host where the
+// profile names it, otherwise the customer.
+func (q *request) callerName() string {
+	if q.entry.options.HTTPProfile.CallerService != "" {
+		return q.entry.options.HostService
+	}
+	return q.customer
+}
+
 // nextAttempt begins the next attempt, at a failing target when there is no other.
 // When there is no target at all it may wait for one, and then returns lookAgain to
 // request another call.
@@ -260,9 +270,8 @@
 	a.record.Verdict, a.record.Reason, a.record.Status = r.verdict, r.reason, r.status
 	a.record.DurationMS = float64(r.duration) / float64(time.Millisecond)
 	if r.verdict == attempt.VerdictCrashed && r.attempt.target.member.Node != q.entry.options.Node {
-		q.entry.options.OnCrash(poison.Report{Node: q.entry.options.Node + "/entry", Digest: q.digest, Crashes: []poison.CrashRecord{
-			{Target: r.attempt.target.key, Started: r.attempt.startedAt, At: q.entry.now()},
-		}})
+		crash := poison.CrashRecord{Target: r.attempt.target.key, Started: r.attempt.startedAt, At: q.entry.now()}
+		q.entry.options.OnCrash(poison.CrashReports(q.entry.options.Node+"/entry", q.poison, crash))
 	}
 }
 
--- a/process/gate/crash.go
+++ b/process/gate/crash.go
@@ -32,7 +32,7 @@
 	e.gate.mu.Lock()
 	crashed := e.target.crashes != e.crashesAtStart
 	if !crashed {
-		e.target.addBrokenExchange(e.gate.now(), e.digest)
+		e.target.addBrokenExchange(e.gate.now(), e.poison)
 	}
 	e.gate.mu.Unlock()
 	if crashed {
--- a/process/gate/exchange.go
+++ b/process/gate/exchange.go
@@ -36,7 +36,7 @@
 	allowLate      bool // the other gates have no room either: queue although the objective will be missed
 	tracked        bool // registered in Gate.orders: non-idempotent or with an order key, can be withdrawn
 	key            order.Key
-	digest         poison.RequestDigest
+	poison         poison.Request
 
 	ticket            admission.Ticket
 	ticketEnded       bool      // the admission controller has freed the slot or refused
@@ -168,12 +168,9 @@
 // startPoisonTracking refuses a quarantined request and delays a suspect one until
 // the poison tracker lets it run.
 func (e *exchange) startPoisonTracking() bool {
-	if e.digest == 0 {
-		return true
-	}
 	for {
 		e.gate.mu.Lock()
-		d := e.gate.poison.Start(e.gate.now(), e.digest, TargetKey(e.gate.options.Node, e.targetID))
+		d := e.gate.poison.Start(e.gate.now(), e.poison, TargetKey(e.gate.options.Node, e.targetID))
 		e.gate.mu.Unlock()
 		switch d {
 		case poison.Run:
@@ -197,15 +194,12 @@
 }
 
 func (e *exchange) finishPoisonTracking() {
-	if e.digest == 0 {
-		return
-	}
 	e.gate.mu.Lock()
 	defer e.gate.mu.Unlock()
 	if e.target != nil && e.target.crashes != e.crashesAtStart {
 		return // Tracker.Crash has ended the tracking
 	}
-	e.gate.poison.Finish(e.gate.now(), e.digest, TargetKey(e.gate.options.Node, e.targetID), e.complete)
+	e.gate.poison.Finish(e.gate.now(), e.poison, TargetKey(e.gate.options.Node, e.targetID), e.complete)
 }
 
 // admit waits for a slot of the target and responds itself when the admission
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -74,7 +74,7 @@
 	admission         *admission.Controller
 	owner             order.Owner
 	orders            *order.Registry // nil until Start
-	poison            *poison.Tracker
+	poison            *poison.RequestTracker
 	retryBudgets      map[string]*retry.Budget // by service
 	calledRoom        retry.CalledRoom
 	callers           class.Callers
@@ -123,7 +123,7 @@
 		targets:        map[string]*target{},
 		withdrawals:    withdrawals{},
 		admission:      admission.New(admission.Options{QueuePerSlot: o.QueuePerSlot}, o.Reporter),
-		poison:         poison.New(poison.Options{Node: o.Node}),
+		poison:         poison.NewRequestTracker(poison.Options{Node: o.Node}),
 		queued:         map[admission.Ticket]chan admission.Decision{},
 		queueStarted:   make(chan struct{}, 1),
 		waitingRetries: map[attempt.ID]chan struct{}{},
@@ -266,23 +266,22 @@
 }
 
 // MergePoison merges other nodes' reports of requests that crash targets.
-func (g *Gate) MergePoison(reports []poison.Report) {
+func (g *Gate) MergePoison(reports poison.Reports) {
 	g.mu.Lock()
 	changes := g.poison.Merge(g.now(), reports)
 	g.mu.Unlock()
 	g.reportPoisonChanges(changes)
 }
 
-// Quarantined reports whether requests with the digest are refused because they
-// crashed targets.
-func (g *Gate) Quarantined(d poison.RequestDigest) bool {
+// Quarantined reports whether a request is refused because it crashed targets.
+func (g *Gate) Quarantined(r poison.Request) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.poison.Quarantined(g.now(), d)
+	return g.poison.Quarantined(g.now(), r)
 }
 
 // PoisonReports returns this gate's reports of requests that crash targets.
-func (g *Gate) PoisonReports() []poison.Report {
+func (g *Gate) PoisonReports() poison.Reports {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.poison.Reports(g.now())
--- a/process/gate/receive.go
+++ b/process/gate/receive.go
@@ -82,12 +82,11 @@
 		}
 		e.arrivedAtEntry = e.arrivedAt.Add(-time.Duration(age) * time.Millisecond)
 	}
-	if text := h.Get(attempt.HeaderRequestDigest); text != "" {
-		digest, err := strconv.ParseUint(text, 16, 64)
-		if err != nil {
-			return fmt.Errorf("%s: %w", attempt.HeaderRequestDigest, err)
-		}
-		e.digest = poison.RequestDigest(digest)
+	if e.poison.Digest, err = parseDigest(h, attempt.HeaderRequestDigest); err != nil {
+		return err
+	}
+	if e.poison.Shared, err = parseDigest(h, attempt.HeaderSharedDigest); err != nil {
+		return err
 	}
 	if text := h.Get(attempt.HeaderOrder); text != "" {
 		if e.key, err = ParseOrderKey(text); err != nil {
@@ -98,6 +97,19 @@
 	return nil
 }
 
+// parseDigest returns the digest in a header field, 0 without one.
+func parseDigest(h http.Header, name string) (poison.RequestDigest, error) {
+	text := h.Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	digest, err := strconv.ParseUint(text, 16, 64)
+	if err != nil {
+		return 0, fmt.Errorf("%s: %w", name, err)
+	}
+	return poison.RequestDigest(digest), nil
+}
+
 // FormatOrderKey returns the value of HeaderOrder for an order key.
 func FormatOrderKey(k order.Key) string {
 	return fmt.Sprintf("%s/%s/%s/%d/%d", k.ID, k.Owner.Node, k.Owner.Incarnation, k.IssuedAt.UnixMilli(), k.ExpiresAt.UnixMilli())
--- a/process/gate/targets.go
+++ b/process/gate/targets.go
@@ -45,8 +45,8 @@
 // crashed the target. That is known once the target refuses connections, announces a
 // new incarnation or disappears.
 type brokenExchange struct {
-	digest poison.RequestDigest
-	at     time.Time
+	request poison.Request
+	at      time.Time
 }
 
 const (
@@ -262,18 +262,18 @@
 // attributeCrash attributes the crash of a target to the requests whose connection
 // broke within crashAttributionWindow. The caller holds g.mu.
 func (g *Gate) attributeCrash(now time.Time, t *target) []poison.Change {
-	var digests []poison.RequestDigest
+	var requests []poison.Request
 	for _, b := range t.brokenExchanges {
 		if now.Sub(b.at) < crashAttributionWindow {
-			digests = append(digests, b.digest)
+			requests = append(requests, b.request)
 		}
 	}
 	t.brokenExchanges = nil
-	if len(digests) == 0 {
+	if len(requests) == 0 {
 		return nil
 	}
 	t.crashes++
-	return g.poison.Crash(now, TargetKey(g.options.Node, t.ID), digests)
+	return g.poison.Crash(now, TargetKey(g.options.Node, t.ID), requests)
 }
 
 // setTargetDown marks a target that refuses connections as down, and records its
@@ -284,17 +284,17 @@
 	}
 	t.down = true
 	for e := range t.inFlight {
-		t.addBrokenExchange(now, e.digest)
+		t.addBrokenExchange(now, e.poison)
 	}
 	g.deliver(g.admission.Remove(now, t.ID).Refused)
 	return g.attributeCrash(now, t)
 }
 
-func (t *target) addBrokenExchange(now time.Time, digest poison.RequestDigest) {
+func (t *target) addBrokenExchange(now time.Time, r poison.Request) {
 	if len(t.brokenExchanges) >= maxBrokenExchanges {
 		t.brokenExchanges = t.brokenExchanges[1:]
 	}
-	t.brokenExchanges = append(t.brokenExchanges, brokenExchange{digest, now})
+	t.brokenExchanges = append(t.brokenExchanges, brokenExchange{r, now})
 }
 
 // reportPoisonChanges records new quarantines and calls Options.OnPoisonChanges.
@@ -303,10 +303,15 @@
 		return
 	}
 	for _, c := range changes {
-		if c.Kind == poison.ChangeQuarantine {
-			g.record(record.KindQuarantine, fmt.Sprintf("%016x", uint64(c.Digest)), "", "quarantined",
-				"a second target crashed while the request ran; the quarantine ends at "+c.Until.UTC().Format(record.SentenceTimeLayout))
+		if c.Kind != poison.ChangeQuarantine {
+			continue
+		}
+		cause := "a second target crashed while the request ran"
+		if c.Shared {
+			cause = "targets crashed while equal requests of different callers ran"
 		}
+		g.record(record.KindQuarantine, fmt.Sprintf("%016x", uint64(c.Digest)), "", "quarantined",
+			cause+"; the quarantine ends at "+c.Until.UTC().Format(record.SentenceTimeLayout))
 	}
 	g.options.OnPoisonChanges(changes)
 }
--- a/process/node/fleet.go
+++ b/process/node/fleet.go
@@ -127,7 +127,7 @@
 
 // isUrgent reports whether r has a quarantine, or a crash of the last 5 s.
 func isUrgent(r reports, now time.Time) bool {
-	return slices.ContainsFunc(r.poison, func(p poison.Report) bool {
+	return slices.ContainsFunc(slices.Concat(r.poison.Requests, r.poison.Shared), func(p poison.Report) bool {
 		return !p.Until.IsZero() || slices.ContainsFunc(p.Crashes, func(c poison.CrashRecord) bool { return now.Sub(c.At) < 5*time.Second })
 	})
 }
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -158,7 +158,7 @@
 		Now: n.now, Rand: newRand(), Log: n.log, Reporter: n.metrics.Invariants, LogService: n.options.LogService,
 		Record: n.record, OnRequestEnd: n.metrics.ObserveRequest, Quarantined: n.gate.Quarantined,
 		HostRetryShare: n.gate.RetryShare, OnCalledRoom: n.gate.NoteCalledRoom, OnFailedRequest: n.gate.NoteFailedCall,
-		OnCrash: func(r poison.Report) { n.gate.MergePoison([]poison.Report{r}) },
+		OnCrash: n.gate.MergePoison,
 	})
 	n.metrics.Set("gate_running", expvar.Func(func() any { return n.gate.Running() }))
 	n.metrics.Set("gate_orders", expvar.Func(func() any { return n.gate.Usage() }))
--- a/process/node/reports.go
+++ b/process/node/reports.go
@@ -20,7 +20,7 @@
 // gossip.
 type reports struct {
 	health []health.Report
-	poison []poison.Report
+	poison poison.Reports
 	demand map[uint32]float32 // requests/s, by hash of the service
 	access distribute.Access  // to the log service
 }
@@ -33,7 +33,8 @@
 	partPoison byte = iota + 1
 	partHealth
 	partDemand
-	partAccess // earlier releases ignore it
+	partAccess       // earlier releases ignore it
+	partSharedPoison // the same
 )
 
 var errMalformedReports = errors.New("reports: malformed")
@@ -42,7 +43,8 @@
 
 // encodeReports encodes r in at most limit bytes and leaves out the parts that
 // do not fit. The access to the log service and poison reports come first, then
-// the greatest suspicions, then the greatest demands.
+// the greatest suspicions, then poison reports that equal requests of all callers share,
+// then the greatest demands.
 func encodeReports(r reports, limit int) []byte {
 	out := []byte{reportsFormat}
 	add := func(tag byte, content []byte) {
@@ -54,9 +56,7 @@
 	if r.access != distribute.AccessUnknown {
 		add(partAccess, []byte{byte(r.access)})
 	}
-	poisons := slices.Clone(r.poison)
-	slices.SortStableFunc(poisons, func(a, b poison.Report) int { return b.Until.Compare(a.Until) })
-	for _, p := range poisons {
+	for _, p := range sortPoison(r.poison.Requests) {
 		add(partPoison, encodePoison(p))
 	}
 	suspicions := slices.Clone(r.health)
@@ -72,12 +72,22 @@
 	for _, h := range suspicions {
 		add(partHealth, encodeHealth(h))
 	}
+	for _, p := range sortPoison(r.poison.Shared) {
+		add(partSharedPoison, encodeSharedPoison(p))
+	}
 	for _, d := range sortDemands(r.demand) {
 		add(partDemand, binary.LittleEndian.AppendUint32(binary.LittleEndian.AppendUint32(nil, d.service), math.Float32bits(d.rate)))
 	}
 	return out
 }
 
+// sortPoison returns the reports, the latest quarantine first.
+func sortPoison(list []poison.Report) []poison.Report {
+	list = slices.Clone(list)
+	slices.SortStableFunc(list, func(a, b poison.Report) int { return b.Until.Compare(a.Until) })
+	return list
+}
+
 type serviceDemand struct {
 	service uint32
 	rate    float32
@@ -126,6 +136,15 @@
 	return b
 }
 
+// encodeSharedPoison adds the request of each crash.
+func encodeSharedPoison(p poison.Report) []byte {
+	b := encodePoison(p)
+	for _, c := range p.Crashes {
+		b = binary.LittleEndian.AppendUint64(b, uint64(c.Request))
+	}
+	return b
+}
+
 func encodeHealth(h health.Report) []byte {
 	b := appendString(nil, h.Target)
 	b = binary.AppendVarint(b, h.Incarnation.StartedMS)
@@ -198,7 +217,9 @@
 		}
 		switch tag {
 		case partPoison:
-			out.poison = append(out.poison, part.readPoison(node))
+			out.poison.Requests = append(out.poison.Requests, part.readPoison(node))
+		case partSharedPoison:
+			out.poison.Shared = append(out.poison.Shared, part.readSharedPoison(node))
 		case partHealth:
 			out.health = append(out.health, part.readHealth(node, now))
 		case partAccess:
@@ -231,6 +252,14 @@
 	return p
 }
 
+func (r *reportReader) readSharedPoison(node string) poison.Report {
+	p := r.readPoison(node)
+	for i := range p.Crashes {
+		p.Crashes[i].Request = poison.RequestDigest(binary.LittleEndian.Uint64(r.readBytes(8)))
+	}
+	return p
+}
+
 func (r *reportReader) readHealth(node string, now time.Time) health.Report {
 	h := health.Report{From: node, Target: r.readString(), At: now}
 	h.Incarnation = attempt.Incarnation{StartedMS: r.readVarint(), Random: binary.LittleEndian.Uint64(r.readBytes(8))}
--- a/process/node/reports_test.go
+++ b/process/node/reports_test.go
@@ -17,8 +17,12 @@
 	at := time.UnixMicro(1764800000000000).UTC()
 	return reports{
 		health: []health.Report{{From: "n1", Target: "t1@n2", Incarnation: attempt.Incarnation{StartedMS: 5, Random: 7}, Suspicion: 1, At: at}},
-		poison: []poison.Report{{Node: "n1", Digest: 99, Until: at, Cleared: at, Running: []string{"t3@n1"},
-			Crashes: []poison.CrashRecord{{Target: "t1@n2", Started: at, At: at}}}},
+		poison: poison.Reports{
+			Requests: []poison.Report{{Node: "n1", Digest: 99, Until: at, Cleared: at, Running: []string{"t3@n1"},
+				Crashes: []poison.CrashRecord{{Target: "t1@n2", Started: at, At: at}}}},
+			Shared: []poison.Report{{Node: "n1", Digest: 98, Until: at, Running: []string{"t3@n1"},
+				Crashes: []poison.CrashRecord{{Target: "t1@n2", Started: at, At: at, Request: 99}, {Target: "t2@n2", Started: at, At: at, Request: 97}}}},
+		},
 		demand: map[uint32]float32{serviceHash("shop"): 12.5},
 		access: distribute.AccessLost,
 	}
--- a/request/attempt/headers.go
+++ b/request/attempt/headers.go
@@ -32,6 +32,7 @@
 	HeaderTargetIncarnation = "Hyssopsill-Target-Incarnation"
 	HeaderTargetRate        = "Hyssopsill-Target-Rate" // requests/s that the target takes, as its last response named it
 	HeaderRequestDigest     = "Hyssopsill-Request-Digest"
+	HeaderSharedDigest      = "Hyssopsill-Shared-Digest"  // digest of the request without its caller
 	HeaderOrder             = "Hyssopsill-Order"          // identity, owner and times of the order key
 	HeaderIdempotent        = "Hyssopsill-Idempotent"     // "1": the attempt may run again and is never withdrawn
 	HeaderForce             = "Hyssopsill-Force"          // "1": send even to a failing target, as there is no other
--- a/request/poison/doc.go
+++ b/request/poison/doc.go
@@ -13,5 +13,9 @@
 // cause. Times of different nodes are compared: a clock error between two nodes
 // can delay the quarantine by one further crash.
 //
+// A request is tracked by two digests, see RequestTracker: a target may run a request
+// for one caller and crash for another, so that successes of other callers prove
+// nothing about it.
+//
 // It imports nothing else of this module.
 package poison
--- a/request/poison/poison.go
+++ b/request/poison/poison.go
@@ -9,14 +9,17 @@
 
 // Options configure a Tracker.
 type Options struct {
-	Node                 string        // name of this node in its reports
-	Quarantine           time.Duration // time for which a digest stays quarantined; default 10 min
-	SuspectTTL           time.Duration // time after which a crash is forgotten; default 10 min
-	RemoteTTL            time.Duration // validity of another node's in-flight report; default 3 s
-	MaxDigests           int           // maximum number of suspects, and of quarantined digests; default 4096
-	blameAll             bool          // for tests: copies in flight at the first crash count towards a second one
-	unrestrictedSuspects bool          // for tests: suspects run at any target, several at once
-	keepOnSuccess        bool          // for tests: a success clears nothing
+	Node       string        // name of this node in its reports
+	Quarantine time.Duration // time for which a digest stays quarantined; default 10 min
+	SuspectTTL time.Duration // time after which a crash is forgotten; default 10 min
+	RemoteTTL  time.Duration // validity of another node's in-flight report; default 3 s
+	MaxDigests int           // maximum number of suspects, and of quarantined digests; default 4096
+	// AcrossRequests tracks digests that several requests share: a digest is quarantined
+	// only when no single request explains its crashes.
+	AcrossRequests       bool
+	blameAll             bool // for tests: copies in flight at the first crash count towards a second one
+	unrestrictedSuspects bool // for tests: suspects run at any target, several at once
+	keepOnSuccess        bool // for tests: a success clears nothing
 }
 
 func (opts Options) withDefaults() Options {
@@ -60,6 +63,7 @@
 	Digest RequestDigest
 	Target string    // ChangeCrashRetracted and ChangeSuspect
 	Until  time.Time // ChangeQuarantine
+	Shared bool      // the digest is a Request.Shared
 }
 
 // CrashRecord describes one crash at which the digest was in flight.
@@ -67,6 +71,9 @@
 	Target  string    `json:"target"`
 	Started time.Time `json:"started"` // latest start of a copy at this target
 	At      time.Time `json:"at"`
+	// Request is the digest of the request in flight when Options.AcrossRequests is
+	// set, otherwise 0.
+	Request RequestDigest `json:"request,omitempty"`
 }
 
 // Report holds what one node knows about one digest.
@@ -134,6 +141,15 @@
 // Start decides whether a copy of the digest may start at target. After Run the
 // caller reports the end of the copy by Finish, or by Crash for the whole target.
 func (t *Tracker) Start(now time.Time, digest RequestDigest, target string) Decision {
+	decision := t.decide(now, digest, target)
+	if decision == Run {
+		t.addCopy(now, digest, target)
+	}
+	return decision
+}
+
+// decide is Start without an effect on the copies in flight.
+func (t *Tracker) decide(now time.Time, digest RequestDigest, target string) Decision {
 	if quarantine, ok := t.quarantined.Get(digest); ok {
 		if now.Before(quarantine.until) {
 			return Quarantined
@@ -143,6 +159,10 @@
 	if t.isSuspect(now, digest) && !t.opts.unrestrictedSuspects && !t.mayRunSuspect(now, digest, target) {
 		return Wait
 	}
+	return Run
+}
+
+func (t *Tracker) addCopy(now time.Time, digest RequestDigest, target string) {
 	key := runKey{digest, target}
 	copies := t.running[key]
 	if copies == nil {
@@ -151,7 +171,14 @@
 	}
 	copies.count++
 	copies.lastStart = now
-	return Run
+}
+
+// lastStart returns the latest start of a copy in flight at target, zero without one.
+func (t *Tracker) lastStart(digest RequestDigest, target string) time.Time {
+	if copies := t.running[runKey{digest, target}]; copies != nil {
+		return copies.lastStart
+	}
+	return time.Time{}
 }
 
 // Quarantined reports whether the digest is quarantined now.
@@ -218,6 +245,10 @@
 	}
 }
 
+func (t *Tracker) removeCopies(digest RequestDigest, target string) {
+	delete(t.running, runKey{digest, target})
+}
+
 // Crash records that target crashed with the given digests in flight, one item
 // per copy. The start time is known only for copies started through this Tracker;
 // the others are taken to have started before any crash.
@@ -229,14 +260,11 @@
 			continue
 		}
 		seen[digest] = true
-		crash := CrashRecord{Target: target, At: now}
-		if copies := t.running[runKey{digest, target}]; copies != nil {
-			crash.Started = copies.lastStart
-		}
+		crash := CrashRecord{Target: target, At: now, Started: t.lastStart(digest, target)}
 		changes = append(changes, t.addCrash(now, digest, crash)...)
 	}
 	for _, digest := range inFlight {
-		delete(t.running, runKey{digest, target})
+		t.removeCopies(digest, target)
 	}
 	return changes
 }
@@ -280,12 +308,50 @@
 // confirmed reports whether the crashes, oldest first, suffice for a
 // quarantine: a copy that started after the first was in flight at another.
 func (t *Tracker) confirmed(crashes []CrashRecord) bool {
-	if t.opts.blameAll {
+	switch {
+	case t.opts.blameAll:
 		return len(crashes) >= 2
+	case t.opts.AcrossRequests:
+		return spanRequests(crashes)
 	}
 	return len(crashes) >= 2 && slices.ContainsFunc(crashes[1:], func(c CrashRecord) bool { return c.Started.After(crashes[0].At) })
 }
 
+// spanRequests reports whether targets crashed one after the other, oldest first, and
+// no single request was in flight at each crash but the first.
+func spanRequests(crashes []CrashRecord) bool {
+	if len(crashes) == 0 {
+		return false
+	}
+	var suspects []RequestDigest // in flight at each crash since the first
+	event := nextCrash(crashes, crashes[0].At)
+	for first := true; len(event) > 0; first = false {
+		var inFlight []RequestDigest
+		for _, c := range event {
+			inFlight = append(inFlight, c.Request)
+		}
+		if first {
+			suspects = inFlight
+		}
+		suspects = slices.DeleteFunc(suspects, func(d RequestDigest) bool { return !slices.Contains(inFlight, d) })
+		if len(suspects) == 0 {
+			return true
+		}
+		event = nextCrash(crashes, event[0].At)
+	}
+	return false
+}
+
+// nextCrash returns the records of the earliest crash at which copies that started after
+// the given time were in flight.
+func nextCrash(crashes []CrashRecord, after time.Time) []CrashRecord {
+	started := slices.DeleteFunc(slices.Clone(crashes), func(c CrashRecord) bool { return !c.Started.After(after) })
+	if len(started) == 0 {
+		return nil
+	}
+	return slices.DeleteFunc(started, func(c CrashRecord) bool { return c.Target != started[0].Target || !c.At.Equal(started[0].At) })
+}
+
 func (t *Tracker) addQuarantine(digest RequestDigest, quarantine quarantineState) []Change {
 	t.suspects.Remove(digest)
 	t.quarantined.Add(digest, &quarantine)
--- a/request/poison/poison_test.go
+++ b/request/poison/poison_test.go
@@ -245,11 +245,11 @@
 func TestMergeIgnoresReportOrder(t *testing.T) {
 	at := func(s int) time.Time { return epoch.Add(time.Duration(s) * time.Second) }
 	reports := []Report{
-		{Node: "b", Digest: 1, Crashes: []CrashRecord{{"t1", at(0), at(1)}}},
-		{Node: "c", Digest: 1, Crashes: []CrashRecord{{"t2", at(2), at(3)}}},
-		{Node: "b", Digest: 2, Crashes: []CrashRecord{{"t1", at(0), at(1)}}},
-		{Node: "c", Digest: 2, Crashes: []CrashRecord{{"t3", at(2), at(3)}}, Cleared: at(2)},
-		{Node: "d", Digest: 3, Until: at(1_000_000), Crashes: []CrashRecord{{"t4", at(0), at(1)}}},
+		{Node: "b", Digest: 1, Crashes: []CrashRecord{{Target: "t1", Started: at(0), At: at(1)}}},
+		{Node: "c", Digest: 1, Crashes: []CrashRecord{{Target: "t2", Started: at(2), At: at(3)}}},
+		{Node: "b", Digest: 2, Crashes: []CrashRecord{{Target: "t1", Started: at(0), At: at(1)}}},
+		{Node: "c", Digest: 2, Crashes: []CrashRecord{{Target: "t3", Started: at(2), At: at(3)}}, Cleared: at(2)},
+		{Node: "d", Digest: 3, Until: at(1_000_000), Crashes: []CrashRecord{{Target: "t4", Started: at(0), At: at(1)}}},
 	}
 	rapid.Check(t, func(t *rapid.T) {
 		tracker, retracted := New(Options{Node: "a"}), map[string]bool{}
@@ -277,16 +277,21 @@
 // cover body bytes beyond DigestBodyBytes.
 func TestDigest(t *testing.T) {
 	body := make([]byte, DigestBodyBytes+1)
-	base := DigestOf("s", "GET", "/a", "q", body)
+	base := RequestOf("s", "GET", "/a", "q", "c", body)
 	changed := slices.Clone(body)
 	changed[DigestBodyBytes] = 1
-	if DigestOf("s", "GET", "/a", "q", changed) != base {
+	if RequestOf("s", "GET", "/a", "q", "c", changed) != base {
 		t.Error("bytes beyond the first 64 KiB change the digest")
 	}
 	changed[DigestBodyBytes-1] = 1
-	for i, d := range []RequestDigest{DigestOf("s", "GET", "/a", "q", changed), DigestOf("s", "GET", "/aq", "", body), DigestOf("sG", "ET", "/a", "q", body)} {
-		if d == base {
-			t.Errorf("request %d has the digest of another", i)
+	for i, r := range []Request{
+		RequestOf("s", "GET", "/a", "q", "c", changed), RequestOf("s", "GET", "/aq", "", "c", body), RequestOf("sG", "ET", "/a", "q", "c", body),
+	} {
+		if r.Digest == base.Digest || r.Shared == base.Shared {
+			t.Errorf("request %d has a digest of another", i)
 		}
 	}
+	if r := RequestOf("s", "GET", "/a", "q", "d", body); r.Digest == base.Digest || r.Shared != base.Shared {
+		t.Errorf("equal requests of two callers: %+v and %+v, want another Digest and the same Shared", r, base)
+	}
 }
--- a/standin/target/faults.go
+++ b/standin/target/faults.go
@@ -1,6 +1,12 @@
 package target
 
-import "time"
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/hyssopsill/hyssopsill/version/config"
+)
 
 // Faults are the faults that a target injects. With the zero value it is healthy.
 type Faults struct {
@@ -24,6 +30,8 @@
 	// CrashOn crashes the target on a request whose path, query or body contains
 	// this text.
 	CrashOn string `json:"crash_on,omitempty"`
+	// CrashCustomer, unless empty, restricts CrashOn to requests of this customer.
+	CrashCustomer string `json:"crash_customer,omitempty"`
 	// FlapMS alternates between healthy and failing, each for this many
 	// milliseconds.
 	FlapMS int64 `json:"flap_ms,omitempty"`
@@ -42,3 +50,11 @@
 }
 
 const coldDelay = 200 * time.Millisecond
+
+// crashesOn reports whether a request with the given body crashes the target.
+func (f *Faults) crashesOn(r *http.Request, body string) bool {
+	if f.CrashOn == "" || f.CrashCustomer != "" && r.Header.Get(config.DefaultCustomerHeader) != f.CrashCustomer {
+		return false
+	}
+	return strings.Contains(r.URL.String(), f.CrashOn) || strings.Contains(body, f.CrashOn)
+}
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -150,7 +150,7 @@
 	if err != nil {
 		return // the gate interrupted the request
 	}
-	if faults.CrashOn != "" && (strings.Contains(r.URL.String(), faults.CrashOn) || strings.Contains(body.text, faults.CrashOn)) {
+	if faults.crashesOn(r, body.text) {
 		t.reportExecution(r, faults.CrashOn)
 		t.crash()
 		panic(http.ErrAbortHandler)
