process/node: report the newest crash first

Cause: reports hold 1,024 bytes, and those of earlier crashes and successes, which a node keeps for 10 minutes, came before a new one: with 100 reports 35 fitted, the oldest. Other nodes did not learn of the new crash, so that a request could crash two more targets. Change: after quarantines the latest crash goes first, then the latest success. Evidence: TestNewCrashIsReportedFirst failed before.

--- a/process/node/reports.go
+++ b/process/node/reports.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"encoding/binary"
 	"errors"
 	"math"
@@ -81,13 +82,25 @@
 	return out
 }
 
-// sortPoison returns the reports, the latest quarantine first.
+// sortPoison returns the reports, the latest quarantine first, then the latest crash and
+// the latest success: a node reports old successes for minutes, and a crash must not wait
+// for them.
 func sortPoison(list []poison.Report) []poison.Report {
 	list = slices.Clone(list)
-	slices.SortStableFunc(list, func(a, b poison.Report) int { return b.Until.Compare(a.Until) })
+	slices.SortStableFunc(list, func(a, b poison.Report) int {
+		return cmp.Or(b.Until.Compare(a.Until), latestCrash(b).Compare(latestCrash(a)), b.Cleared.Compare(a.Cleared))
+	})
 	return list
 }
 
+// latestCrash returns the time of the last crash, zero without one.
+func latestCrash(r poison.Report) time.Time {
+	if len(r.Crashes) == 0 {
+		return time.Time{}
+	}
+	return r.Crashes[len(r.Crashes)-1].At
+}
+
 type serviceDemand struct {
 	service uint32
 	rate    float32
--- a/process/node/reports_test.go
+++ b/process/node/reports_test.go
@@ -11,6 +11,7 @@
 	"github.com/hyssopsill/hyssopsill/request/attempt"
 	"github.com/hyssopsill/hyssopsill/request/poison"
 	"github.com/hyssopsill/hyssopsill/version/distribute"
+	"github.com/hyssopsill/hyssopsill/version/membership"
 )
 
 func sampleReports() reports {
@@ -41,6 +42,29 @@
 	}
 }
 
+// Guards against a crash that the other nodes do not learn of, since reports of earlier
+// crashes and successes fill the space.
+func TestNewCrashIsReportedFirst(t *testing.T) {
+	start := time.UnixMicro(1764800000000000).UTC()
+	var r reports
+	for i := range 100 {
+		at := start.Add(time.Duration(i) * time.Second)
+		report := poison.Report{Node: "n1", Digest: poison.RequestDigest(i + 1), Cleared: at}
+		if i%2 == 0 {
+			report = poison.Report{Node: "n1", Digest: poison.RequestDigest(i + 1), Crashes: []poison.CrashRecord{{Target: "t1@n1", Started: at, At: at}}}
+		}
+		r.poison.Requests = append(r.poison.Requests, report)
+	}
+	const newest = poison.RequestDigest(99)
+	got, err := decodeReports("n1", start, encodeReports(r, membership.MaxReports))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(got.poison.Requests) == 0 || got.poison.Requests[0].Digest != newest {
+		t.Errorf("got %d of %d reports, want that of the newest crash first", len(got.poison.Requests), len(r.poison.Requests))
+	}
+}
+
 // Guards against malformed reports of a peer that panic or have an effect.
 func TestMalformedReports(t *testing.T) {
 	encoded := encodeReports(sampleReports(), 1024)
