request/poison: the digest covers the length of the body

Cause: a digest covers the first 64 KiB of a body. Two bodies of other lengths with the same first 64 KiB were one request, so that the success of one cleared the other. Change: the length of the whole body, where known, is part of both digests; the parts of a request are a struct.

--- a/process/entry/run.go
+++ b/process/entry/run.go
@@ -16,7 +16,8 @@
 // run makes the attempts of a request.
 func (q *request) run() {
 	u := q.callerRequest.URL
-	q.poison = poison.RequestOf(q.service, q.callerRequest.Method, u.Path, u.RawQuery, q.callerName(), q.body)
+	q.poison = poison.RequestOf(poison.Content{Service: q.service, Method: q.callerRequest.Method, Path: u.Path, Query: u.RawQuery,
+		Caller: q.callerName(), Body: q.body, Length: q.bodyLength()})
 	ctx, cancel := context.WithDeadline(q.callerRequest.Context(), q.deadline)
 	defer cancel()
 	ctx, cancelWith := context.WithCancelCause(ctx)
--- a/request/poison/digest.go
+++ b/request/poison/digest.go
@@ -13,34 +13,47 @@
 // a target.
 type RequestDigest uint64
 
-// RequestOf returns the digests of a request, which cover only the first
-// DigestBodyBytes bytes of body. The caller is the one that a target sees, since
-// targets may treat the requests of one caller differently.
-func RequestOf(service, method, path, query, caller string, body []byte) Request {
-	shared := digestOf(service, method, path, query, body)
+// Content is what a request asks of a target.
+type Content struct {
+	Service, Method, Path, Query string
+	// Caller is the one that a target sees, since targets may treat the requests of one
+	// caller differently.
+	Caller string
+	Body   []byte // at least the first DigestBodyBytes; further bytes are ignored
+	Length int64  // of the whole body in bytes, -1 when unknown
+}
+
+// RequestOf returns the digests of a request.
+func RequestOf(c Content) Request {
+	shared := c.sharedDigest()
 	var h xxhash.Digest
 	h.Reset()
-	writePart(&h, caller)
-	_, _ = h.Write(binary.LittleEndian.AppendUint64(nil, uint64(shared))) // never fails
+	writePart(&h, c.Caller)
+	writeNumber(&h, uint64(shared))
 	return Request{Digest: RequestDigest(h.Sum64()), Shared: shared}
 }
 
-// digestOf returns the digest of a request without its caller.
-func digestOf(service, method, path, query string, body []byte) RequestDigest {
+// sharedDigest returns the digest without the caller.
+func (c Content) sharedDigest() RequestDigest {
 	var h xxhash.Digest
 	h.Reset()
-	for _, part := range [...]string{service, method, path, query} {
+	for _, part := range [...]string{c.Service, c.Method, c.Path, c.Query} {
 		writePart(&h, part)
 	}
-	_, _ = h.Write(body[:min(len(body), DigestBodyBytes)])
+	writeNumber(&h, uint64(c.Length))
+	_, _ = h.Write(c.Body[:min(len(c.Body), DigestBodyBytes)]) // never fails
 	return RequestDigest(h.Sum64())
 }
 
 // writePart writes a part after its length, so that moving bytes from one part to the
 // next changes the digest.
 func writePart(h *xxhash.Digest, part string) {
-	var n [8]byte
-	binary.LittleEndian.PutUint64(n[:], uint64(len(part)))
-	_, _ = h.Write(n[:]) // never fails
-	_, _ = h.WriteString(part)
+	writeNumber(h, uint64(len(part)))
+	_, _ = h.WriteString(part) // never fails
+}
+
+func writeNumber(h *xxhash.Digest, n uint64) {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], n)
+	_, _ = h.Write(b[:]) // never fails
 }
--- a/request/poison/poison_test.go
+++ b/request/poison/poison_test.go
@@ -277,21 +277,31 @@
 // cover body bytes beyond DigestBodyBytes.
 func TestDigest(t *testing.T) {
 	body := make([]byte, DigestBodyBytes+1)
-	base := RequestOf("s", "GET", "/a", "q", "c", body)
+	content := Content{Service: "s", Method: "GET", Path: "/a", Query: "q", Caller: "c", Body: body, Length: int64(len(body))}
+	base := RequestOf(content)
 	changed := slices.Clone(body)
 	changed[DigestBodyBytes] = 1
-	if RequestOf("s", "GET", "/a", "q", "c", changed) != base {
+	if RequestOf(withBody(content, changed)) != base {
 		t.Error("bytes beyond the first 64 KiB change the digest")
 	}
 	changed[DigestBodyBytes-1] = 1
-	for i, r := range []Request{
-		RequestOf("s", "GET", "/a", "q", "c", changed), RequestOf("s", "GET", "/aq", "", "c", body), RequestOf("sG", "ET", "/a", "q", "c", body),
-	} {
-		if r.Digest == base.Digest || r.Shared == base.Shared {
+	pathAndQuery, serviceAndMethod, length := content, content, content
+	pathAndQuery.Path, pathAndQuery.Query = "/aq", ""
+	serviceAndMethod.Service, serviceAndMethod.Method = "sG", "ET"
+	length.Length++
+	for i, c := range []Content{withBody(content, changed), pathAndQuery, serviceAndMethod, length} {
+		if r := RequestOf(c); r.Digest == base.Digest || r.Shared == base.Shared {
 			t.Errorf("request %d has a digest of another", i)
 		}
 	}
-	if r := RequestOf("s", "GET", "/a", "q", "d", body); r.Digest == base.Digest || r.Shared != base.Shared {
+	caller := content
+	caller.Caller = "d"
+	if r := RequestOf(caller); r.Digest == base.Digest || r.Shared != base.Shared {
 		t.Errorf("equal requests of two callers: %+v and %+v, want another Digest and the same Shared", r, base)
 	}
 }
+
+func withBody(c Content, body []byte) Content {
+	c.Body = body
+	return c
+}
--- a/request/poison/requests_test.go
+++ b/request/poison/requests_test.go
@@ -81,7 +81,7 @@
 }
 
 func (r *patternRun) requestOf(caller string) Request {
-	request := RequestOf("shop", "GET", "/kits", "", caller, nil)
+	request := RequestOf(Content{Service: "shop", Method: "GET", Path: "/kits", Caller: caller})
 	if r.ignoreCallers {
 		request = Request{Digest: request.Shared}
 	}
