process/gate: refuse announced addresses that no target can have

Cause: the port of an announced address was not checked. A heartbeat of another writer with port 0 or 65536, a sign or a service name was accepted, and requests that were sent there failed with 502 and an unknown outcome. So was 0.0.0.0, which leads to whatever listens on this host. Change: the address must be that of a host, with a port from 1 to 65535; the refusal names it.

--- a/process/gate/announce.go
+++ b/process/gate/announce.go
@@ -5,8 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"strings"
 	"time"
@@ -145,8 +145,8 @@
 	if !validName(a.Service) {
 		addFault("service: want up to %d letters, digits, '.', '_' and '-'", maxNameBytes)
 	}
-	if host, port, err := net.SplitHostPort(a.Address); err != nil || net.ParseIP(host) == nil || port == "" {
-		addFault("address: want an IP address and port, got %q", a.Address)
+	if !validAddress(a.Address) {
+		addFault("address: want the IP address of a host and a port from 1 to 65535, got %q", a.Address)
 	}
 	if a.Slots < 1 || a.Slots > maxSlots {
 		addFault("slots: want 1 to %d, got %d", maxSlots, a.Slots)
@@ -170,6 +170,11 @@
 	return nil
 }
 
+func validAddress(s string) bool {
+	address, err := netip.ParseAddrPort(s)
+	return err == nil && address.Port() > 0 && address.Addr().Zone() == "" && !address.Addr().IsUnspecified() && !address.Addr().IsMulticast()
+}
+
 func validName(s string) bool {
 	if s == "" || len(s) > maxNameBytes {
 		return false
