process/gate: refuse announcements of processes that start in the future

Cause: a heartbeat of another writer with a start time far in the future was accepted for a new process, after which each heartbeat of the real one was refused as older (400), and its address went to the odd entry. Change: a start more than an hour ahead of this host's clock is refused. Evidence: TestHeartbeatFromTheFuture failed before.

--- a/process/gate/targets.go
+++ b/process/gate/targets.go
@@ -150,7 +150,14 @@
 	return changes, nil
 }
 
-var errOldIncarnation = errors.New("announcement: incarnation is older than the announced one")
+var (
+	errOldIncarnation    = errors.New("announcement: incarnation is older than the announced one")
+	errFutureIncarnation = errors.New("announcement: the process starts in the future")
+)
+
+// maxClockLead is the time by which the clock of a target may be ahead of this host's.
+// An announced process that starts later would make those of the real one too old.
+const maxClockLead = time.Hour
 
 // announcedIncarnation returns the incarnation of an announcement. Without one the
 // known target keeps its own, unless it is leaving or down. The caller holds g.mu.
@@ -160,6 +167,9 @@
 		if err == nil && t != nil && incarnation.Compare(t.Incarnation) < 0 {
 			err = errOldIncarnation
 		}
+		if err == nil && incarnation.StartedMS > now.Add(maxClockLead).UnixMilli() {
+			err = errFutureIncarnation
+		}
 		return incarnation, err
 	}
 	if t == nil || t.Leaving || t.down {
