process/control: watchers notice a silent connection to the log service in 2.4 s

Cause: a read of the configuration waits up to 19.7 s for a change, and a silent connection shows only when that time and the timeout of a call are over. The first of all nodes' reads that ends brings the version; with three nodes that is mostly late, with 24 by chance. Change: some readers are watchers, one in each failure domain and three in the fleet at least. Their reads wait 0.6 to 1.4 s. A node that becomes a watcher ends its long read. config_log and the line on the role say who is one. Evidence: TestVersionIsReadSoonAfterConnectionsWentSilent failed before with 1, 3 and 4 nodes (24 passed by chance); TestReadEndsWhenNodeBecomesWatcher fails with that ending taken out.

--- a/process/control/documents.go
+++ b/process/control/documents.go
@@ -20,13 +20,17 @@
 )
 
 const (
-	// meanFollowWait is the mean time for which a read of the table waits for a change.
-	// A node detects a silent connection after that time; meanwhile others forward
-	// changes. The times vary from minFollowWait on: a change ends the reads of all
-	// readers at once, and some of the next ones must end soon enough to show that the
-	// log service does not respond.
-	meanFollowWait = 10 * time.Second
-	minFollowWait  = 300 * time.Millisecond
+	// A read of the table waits for a change, and shows that its connection has gone
+	// silent only when that time and the timeout of a call (1 s) are over. All
+	// connections may go silent at once, so the watchers among the readers wait between
+	// minWatchWait and maxWatchWait and can read again 2.5 s later.
+	minWatchWait = 600 * time.Millisecond
+	maxWatchWait = 1400 * time.Millisecond
+	// The other readers wait between minFollowWait and maxFollowWait, as calls are paid
+	// for and the watchers forward changes. The times vary, since a change ends the
+	// reads of all readers at once.
+	minFollowWait = 300 * time.Millisecond
+	maxFollowWait = 20 * time.Second
 	// checkInterval is the mean time between reads of a node that does not follow
 	// the table. Peers forward changes to it within about a second.
 	checkInterval = 15 * time.Second
@@ -76,14 +80,16 @@
 	calls   *callGroup
 	log     zerolog.Logger
 
-	mu     sync.Mutex
-	core   *document.Core
-	status LogStatus
+	mu      sync.Mutex
+	core    *document.Core
+	status  LogStatus
+	endRead context.CancelCauseFunc // ends a read that may wait longer than maxWatchWait; nil without one
 }
 
 // LogStatus describes how a node gets the configuration from the log service.
 type LogStatus struct {
 	Reader   bool      // the node follows the log service instead of checking it from time to time
+	Watcher  bool      // it must detect soon that its connection to the log service has gone silent
 	LastRead time.Time // last successful call; zero without one
 }
 
@@ -116,6 +122,9 @@
 	d.core.SetPeers(peers)
 	p, ok := d.core.NewerPeer(now)
 	version := d.core.Version()
+	if d.endRead != nil && d.core.Role().Watcher { // other watchers are gone
+		d.endRead(errBecameWatcher)
+	}
 	d.mu.Unlock()
 	if ok {
 		d.calls.start(func(ctx context.Context) { d.fetch(ctx, p, version) })
@@ -150,11 +159,13 @@
 		var entries []eventlog.TableEntry
 		var err error
 		if known {
-			entries, position, err = source.Tables.Follow(ctx, source.Table, position, followWait())
+			entries, position, err = d.awaitChange(ctx, position)
 		} else {
 			entries, position, err = source.Tables.Newest(ctx, source.Table)
 		}
 		switch {
+		case errors.Is(err, errBecameWatcher):
+			continue
 		case errors.Is(err, eventlog.ErrTrimmed):
 			known = false
 			continue
@@ -188,22 +199,51 @@
 	}
 }
 
-func followWait() time.Duration {
-	return minFollowWait + time.Duration(rand.Int64N(int64(2*(meanFollowWait-minFollowWait))))
+// errBecameWatcher ends a long read.
+var errBecameWatcher = errors.New("the node has become a watcher of the log service")
+
+// awaitChange reads the records after a position and waits until there is one. It
+// returns errBecameWatcher when the node's role no longer allows so long a wait.
+func (d *Documents) awaitChange(ctx context.Context, from eventlog.Position) ([]eventlog.TableEntry, eventlog.Position, error) {
+	readCtx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	d.mu.Lock()
+	watcher := d.core.Role().Watcher
+	if !watcher {
+		d.endRead = end
+	}
+	d.mu.Unlock()
+	entries, next, err := d.options.Source.Tables.Follow(readCtx, d.options.Source.Table, from, followWait(watcher))
+	d.mu.Lock()
+	d.endRead = nil
+	d.mu.Unlock()
+	if err != nil && errors.Is(context.Cause(readCtx), errBecameWatcher) {
+		err = errBecameWatcher
+	}
+	return entries, next, err
+}
+
+// followWait returns a random time for which a reader waits for a change.
+func followWait(watcher bool) time.Duration {
+	shortest, longest := minFollowWait, maxFollowWait
+	if watcher {
+		shortest, longest = minWatchWait, maxWatchWait
+	}
+	return shortest + time.Duration(rand.Int64N(int64(longest-shortest)))
 }
 
 // observeRole returns the role of this node, and logs it when it has changed.
 func (d *Documents) observeRole() distribute.Role {
 	d.mu.Lock()
 	role := d.core.Role()
-	changed := role.Reader != d.status.Reader
-	d.status.Reader = role.Reader
+	changed := role.Reader != d.status.Reader || role.Watcher != d.status.Watcher
+	d.status.Reader, d.status.Watcher = role.Reader, role.Watcher
 	access, lastRead, version := d.core.Access(), d.status.LastRead, d.core.Version()
 	d.mu.Unlock()
 	if !changed {
 		return role
 	}
-	line := d.log.Info().Bool("reader", role.Reader).Stringer("access", access).Int("position", role.Position).Int("quota", role.Quota).Int64("version", version)
+	line := d.log.Info().Bool("reader", role.Reader).Bool("watcher", role.Watcher).Stringer("access", access).Int("position", role.Position).Int("quota", role.Quota).Int64("version", version)
 	if !lastRead.IsZero() {
 		line = line.Dur("last_read_age_ms", time.Since(lastRead))
 	}
--- a/process/control/readers_test.go
+++ b/process/control/readers_test.go
@@ -28,6 +28,28 @@
 	*logservice.Service
 	mu     sync.Mutex
 	silent chan struct{} // closed when the service responds again; nil while it does
+	reads  int           // Follow calls begun
+	lost   int           // those of them that get no response
+}
+
+// silenceConnection lets a Follow call in progress get no response.
+func (p *partialTables) silenceConnection() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lost = p.reads
+}
+
+func (p *partialTables) beginRead() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reads++
+	return p.reads
+}
+
+func (p *partialTables) isLost(read int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return read <= p.lost
 }
 
 func (p *partialTables) setSilent(silent bool) {
@@ -66,8 +88,15 @@
 }
 
 func (p *partialTables) Follow(ctx context.Context, table string, from eventlog.Position, wait time.Duration) ([]eventlog.TableEntry, eventlog.Position, error) {
-	startedAt := time.Now()
+	startedAt, read := time.Now(), p.beginRead()
 	entries, next, err := p.Service.Follow(ctx, table, from, wait)
+	if p.isLost(read) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait + callTimeout - time.Since(startedAt)):
+		}
+		return nil, from, eventlog.ErrUnavailable
+	}
 	if silent := p.await(ctx, max(0, wait-time.Since(startedAt))); silent != nil {
 		return nil, from, silent
 	}
@@ -86,6 +115,7 @@
 
 type documentNode struct {
 	*control.Documents
+	fleet  *documentFleet
 	peer   distribute.Peer
 	tables *partialTables
 }
@@ -101,7 +131,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var wait sync.WaitGroup
 	for i := range nodes {
-		n := &documentNode{tables: &partialTables{Service: f.log}}
+		n := &documentNode{fleet: f, tables: &partialTables{Service: f.log}}
 		n.peer = distribute.Peer{Node: fmt.Sprint("n", i), Domain: fmt.Sprint("d", i%domains), Address: "127.0.0.1:1"}
 		n.Documents = control.NewDocuments(control.DocumentOptions{
 			Core:   document.Options{Node: n.peer.Node, Domain: n.peer.Domain, Decode: decode},
@@ -189,12 +219,79 @@
 		n.tables.setSilent(true)
 	}
 	f.publish(t, 2)
-	waitFor(t, 5*time.Second, "a node that is served has the version", func() bool {
-		for _, n := range f.nodes {
-			if n.hasVersion(2)() {
-				return true
+	waitFor(t, 5*time.Second, "a node that is served has the version", f.hasVersion(2))
+}
+
+// silenceConnections lets the reads in progress of all nodes get no response, while new
+// ones get one.
+func (f *documentFleet) silenceConnections() {
+	for _, n := range f.nodes {
+		n.tables.silenceConnection()
+	}
+}
+
+// Guards against a version that no node reads in time after all connections to the log
+// service went silent, because each node waits long for its read to end.
+func TestVersionIsReadSoonAfterConnectionsWentSilent(t *testing.T) {
+	for _, size := range []struct{ nodes, domains int }{{1, 1}, {3, 3}, {4, 1}, {24, 4}} {
+		t.Run(fmt.Sprintf("%d nodes in %d domains", size.nodes, size.domains), func(t *testing.T) {
+			t.Parallel()
+			f := startDocumentFleet(t, size.nodes, size.domains)
+			f.publish(t, 1)
+			for _, n := range f.nodes {
+				waitFor(t, 5*time.Second, n.peer.Node+" has the first version", n.hasVersion(1))
+			}
+			for version := 2; version <= 5; version++ {
+				time.Sleep(700 * time.Millisecond) // most reads are in progress
+				f.silenceConnections()
+				time.Sleep(time.Second)
+				f.publish(t, version)
+				waitFor(t, 2*time.Second, "a node has read the version", f.hasVersion(version))
+			}
+		})
+	}
+}
+
+// Guards against a node that waits long for a read although the nodes that detected
+// silent connections are gone.
+func TestReadEndsWhenNodeBecomesWatcher(t *testing.T) {
+	for i := range 4 { // a long read may end in time by chance
+		t.Run(fmt.Sprint("fleet ", i), func(t *testing.T) {
+			t.Parallel()
+			f := startDocumentFleet(t, 12, 1)
+			f.publish(t, 1)
+			for _, n := range f.nodes {
+				waitFor(t, 5*time.Second, n.peer.Node+" has the first version", n.hasVersion(1))
 			}
+			gone := f.watchers()
+			for _, n := range gone {
+				n.tables.setSilent(true)
+			}
+			waitFor(t, 6*time.Second, "other nodes are watchers", func() bool { return !slices.ContainsFunc(gone, (*documentNode).isWatcher) })
+			f.silenceConnections()
+			time.Sleep(time.Second)
+			f.publish(t, 2)
+			waitFor(t, 2*time.Second, "a node has read the version", f.hasVersion(2))
+		})
+	}
+}
+
+// hasVersion returns a condition that holds when a node has the version.
+func (f *documentFleet) hasVersion(version int) func() bool {
+	return func() bool {
+		return slices.ContainsFunc(f.nodes, func(n *documentNode) bool { return n.hasVersion(version)() })
+	}
+}
+
+func (n *documentNode) isWatcher() bool { return slices.Contains(n.fleet.watchers(), n) }
+
+func (f *documentFleet) watchers() []*documentNode {
+	peers, _ := f.peers()
+	var out []*documentNode
+	for i, n := range f.nodes {
+		if document.Readers.Role(peers[i], peers).Watcher {
+			out = append(out, n)
 		}
-		return false
-	})
+	}
+	return out
 }
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -290,12 +290,13 @@
 // logStatusMetric is the metric config_log.
 type logStatusMetric struct {
 	Reader         bool    `json:"reader"`
+	Watcher        bool    `json:"watcher"`
 	LastReadAgeSec float64 `json:"last_read_age_s"` // -1 without a successful read
 }
 
 func (n *Node) logStatusMetric() any {
 	status := n.config.LogStatus()
-	metric := logStatusMetric{Reader: status.Reader, LastReadAgeSec: -1}
+	metric := logStatusMetric{Reader: status.Reader, Watcher: status.Watcher, LastReadAgeSec: -1}
 	if !status.LastRead.IsZero() {
 		metric.LastReadAgeSec = n.now().Sub(status.LastRead).Seconds()
 	}
--- a/version/distribute/readers.go
+++ b/version/distribute/readers.go
@@ -32,6 +32,10 @@
 	// domains. A part below PerDomain has no effect. In a fleet of up to that many
 	// nodes, all are readers.
 	Fleet int
+	// Watchers is the minimum number of readers in the fleet that detect soon that their
+	// connection to the log service has gone silent, in equal parts for its failure
+	// domains, one in each at least.
+	Watchers int
 
 	noHandover bool // for tests: choose by rank alone
 }
@@ -42,6 +46,9 @@
 	// Needed means that fewer than PerDomain other nodes of the domain can read
 	// instead of this one, so that it retries a failed read soon. It implies Reader.
 	Needed bool
+	// Watcher means that the node must detect soon that its connection to the log service
+	// has gone silent. It implies Reader.
+	Watcher bool
 	// Position is the number of nodes of the domain that go before this one; below
 	// Quota, a node is a reader.
 	Position, Quota int
@@ -58,24 +65,34 @@
 			position++
 		}
 	}
-	quota := r.quota(self.Domain, peers)
+	domains := countDomains(self, peers)
+	quota := r.quota(len(peers)+1, domains)
 	needed := position < r.PerDomain
-	return Role{Reader: needed || position < quota && (self.Access != AccessLost || r.noHandover), Needed: needed, Position: position, Quota: quota}
+	reader := needed || position < quota && (self.Access != AccessLost || r.noHandover)
+	watcher := reader && position < max(1, perDomain(r.Watchers, domains))
+	return Role{Reader: reader, Needed: needed, Watcher: watcher, Position: position, Quota: quota}
 }
 
 // quota returns the number of readers in each failure domain.
-func (r Readers) quota(ownDomain string, peers []Peer) int {
+func (r Readers) quota(nodes, domains int) int {
 	if r.Fleet <= r.PerDomain {
 		return r.PerDomain
 	}
-	if nodes := len(peers) + 1; nodes <= r.Fleet {
+	if nodes <= r.Fleet {
 		return nodes
 	}
-	domains := map[string]struct{}{ownDomain: {}}
+	return max(r.PerDomain, perDomain(r.Fleet, domains))
+}
+
+// perDomain returns the part of n for each failure domain, rounded up.
+func perDomain(n, domains int) int { return (n + domains - 1) / domains }
+
+func countDomains(self Peer, peers []Peer) int {
+	domains := map[string]struct{}{self.Domain: {}}
 	for _, p := range peers {
 		domains[p.Domain] = struct{}{}
 	}
-	return max(r.PerDomain, (r.Fleet+len(domains)-1)/len(domains))
+	return len(domains)
 }
 
 // counts reports whether a peer can have the duty. Nodes that cannot read rank among
--- a/version/distribute/readers_test.go
+++ b/version/distribute/readers_test.go
@@ -104,6 +104,24 @@
 	}
 }
 
+// Guards against a fleet without enough watchers among the nodes that can read, and
+// against one in which most readers watch, which costs a call a second each.
+func TestWatchersAreFew(t *testing.T) {
+	readers := Readers{Salt: "test", PerDomain: 2, Fleet: 32, Watchers: 3}
+	for _, size := range []struct{ nodes, domains, want int }{{1, 1, 1}, {3, 1, 3}, {3, 3, 3}, {10, 2, 4}, {24, 4, 4}, {81, 4, 4}, {234, 6, 6}} {
+		peers := fleet(size.nodes, size.domains)
+		watchers := 0
+		for _, self := range peers {
+			if role := readers.Role(self, peers); role.Watcher && role.Reader {
+				watchers++
+			}
+		}
+		if watchers != size.want {
+			t.Errorf("%d nodes in %d domains: %d watchers, want %d", size.nodes, size.domains, watchers, size.want)
+		}
+	}
+}
+
 // Guards against a silent reader, such as a paused one, that keeps others from taking
 // over.
 func TestSilentReadersAreReplaced(t *testing.T) {
--- a/version/document/core.go
+++ b/version/document/core.go
@@ -26,6 +26,10 @@
 	// each reader gets each document. When the service turns three quarters of the
 	// nodes away, it turns all 32 away in 1 of 10,000 cases.
 	FleetReaders = 32
+	// MinWatchers is the minimum number of nodes in the fleet, one in each failure domain
+	// at least, that detect soon that their connection to the log service has gone
+	// silent. All connections may go silent at once, also after two nodes have ended.
+	MinWatchers = 3
 	// requestInterval is the time between requests to peers for a newer document.
 	requestInterval = 300 * time.Millisecond
 )
@@ -97,12 +101,12 @@
 	c.peers = slices.DeleteFunc(slices.Clone(peers), func(p distribute.Peer) bool { return p.Node == c.options.Node })
 }
 
-// readers chooses the nodes that follow the log service.
-var readers = distribute.Readers{Salt: "document reader", PerDomain: MinReaders, Fleet: FleetReaders}
+// Readers chooses the nodes that follow the log service.
+var Readers = distribute.Readers{Salt: "document reader", PerDomain: MinReaders, Fleet: FleetReaders, Watchers: MinWatchers}
 
 // Role returns whether this node follows the log service.
 func (c *Core) Role() distribute.Role {
-	return readers.Role(distribute.Peer{Node: c.options.Node, Domain: c.options.Domain, Access: c.access}, c.peers)
+	return Readers.Role(distribute.Peer{Node: c.options.Node, Domain: c.options.Domain, Access: c.access}, c.peers)
 }
 
 // Access returns whether this node can read the log service.
