process/gate: a far lower sequence is not a late announcement

Cause: announcements of a process up to its highest sequence so far count as late and have no effect. One odd heartbeat of another writer with a great number silenced all later ones of the instance: its draining was acknowledged and it went on getting requests. Change: a difference of 1,000 or more is no lateness; the announcement counts and sets the number.

--- a/process/gate/targets.go
+++ b/process/gate/targets.go
@@ -80,8 +80,8 @@
 	if err != nil {
 		return AnnounceStatus{}, nil, false, err
 	}
-	if t != nil && incarnation == t.Incarnation && a.Sequence > 0 && a.Sequence <= t.sequence {
-		return g.status(t), nil, false, nil // a later announcement arrived first
+	if t != nil && incarnation == t.Incarnation && arrivedLate(a.Sequence, t.sequence) {
+		return g.status(t), nil, false, nil
 	}
 	var changes []poison.Change
 	if a.Incarnation != "" { // the target distinguishes its processes
@@ -124,6 +124,15 @@
 	return g.status(t), changes, previous != t.Target || wasDown, nil
 }
 
+// maxLateSequences is the number of later announcements that may arrive before one. A
+// greater difference means that the last number was not that of the target.
+const maxLateSequences = 1000
+
+// arrivedLate reports whether an announcement was sent before the last one.
+func arrivedLate(sequence, last int64) bool {
+	return sequence > 0 && sequence <= last && last-sequence < maxLateSequences
+}
+
 // warmAge is the age given to a target that announces itself as warm. It is longer
 // than any slow start.
 const warmAge = time.Hour
