--- a/process/gate/announce.go
+++ b/process/gate/announce.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/netip"
 	"net/url"
 	"strings"
 	"time"
@@ -145,7 +144,7 @@
 	if !validName(a.Service) {
 		addFault("service: want up to %d letters, digits, '.', '_' and '-'", maxNameBytes)
 	}
-	if !validAddress(a.Address) {
+	if !membership.ValidAddress(a.Address) {
 		addFault("address: want the IP address of a host and a port from 1 to 65535, got %q", a.Address)
 	}
 	if a.Slots < 1 || a.Slots > maxSlots {
@@ -170,11 +169,6 @@
 	return nil
 }
 
-func validAddress(s string) bool {
-	address, err := netip.ParseAddrPort(s)
-	return err == nil && address.Port() > 0 && address.Addr().Zone() == "" && !address.Addr().IsUnspecified() && !address.Addr().IsMulticast()
-}
-
 func validName(s string) bool {
 	if s == "" || len(s) > maxNameBytes {
 		return false
--- a/process/node/seeds.go
+++ b/process/node/seeds.go
@@ -87,17 +87,26 @@
 }
 
 // setSeeds gives the membership the seeds of the settings and up to maxSeeds
-// random addresses from the table.
+// random addresses from the table. Other writers may have left entries that are no
+// addresses.
 func (f *fleetView) setSeeds(entries []eventlog.TableEntry) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	clear(f.seeds)
+	invalid := 0
 	for _, i := range newRand().Perm(len(entries)) {
 		e := entries[i]
-		if len(e.Value) > 0 && e.Key != f.node.options.Settings.Node && len(f.seeds) < maxSeeds {
+		switch {
+		case len(e.Value) == 0 || e.Key == f.node.options.Settings.Node || len(f.seeds) >= maxSeeds:
+		case membership.ValidAddress(string(e.Value)):
 			f.seeds[string(e.Value)] = true
+		default:
+			invalid++
 		}
 	}
+	if invalid > 0 {
+		f.node.log.Warn().Int("entries", invalid).Msg("node: entries of the table of nodes are no addresses and are ignored")
+	}
 	f.seedsRead = true
 	seeds := append(slices.Clone(f.node.options.Settings.Seeds), slices.Sorted(maps.Keys(f.seeds))...)
 	f.gossip.WithLock(func(m *membership.Membership) { m.SetSeeds(seeds) })
--- a/process/node/seeds_test.go
+++ b/process/node/seeds_test.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -27,3 +29,25 @@
 	log.Restore()
 	eventually(t, "both addresses are in the table again", published)
 }
+
+// Guards against entries of another writer in the table of nodes (no addresses, ports out
+// of range, bytes that are no text) that keep nodes from finding each other.
+func TestOddEntriesHideNoNode(t *testing.T) {
+	log := logservice.New(logservice.Options{})
+	publishConfig(t, log, testConfig)
+	odd := []string{"nowhere", "127.0.0.1:0", "127.0.0.1:65536", "127.0.0.1:+1", "0.0.0.0:1", "\xff\x00", strings.Repeat("[", 20000)}
+	for i := range 40 * maxSeeds {
+		if err := log.Put(t.Context(), eventlog.TableNodes, fmt.Sprint("odd", i), []byte(odd[i%len(odd)])); err != nil {
+			t.Fatal(err)
+		}
+	}
+	n1, n2 := startTestNode(t, "n1", "d1", log), startTestNode(t, "n2", "d2", log)
+	eventually(t, "the nodes know each other", func() bool { return n1.fleet.heardFromPeer() && n2.fleet.heardFromPeer() })
+	for _, n := range []*testNode{n1, n2} {
+		n.fleet.mu.Lock()
+		if len(n.fleet.seeds) > 1 {
+			t.Errorf("%d seeds, want the other node only", len(n.fleet.seeds))
+		}
+		n.fleet.mu.Unlock()
+	}
+}
