process/settings: a port is a number

Cause: ports were looked up as service names. An advertised address with a name or a sign was accepted, but peers and the table of nodes take numbers only. Evidence: TestPortIsANumber failed before for two of four ports.

--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"os"
 	"reflect"
+	"strconv"
 	"strings"
 	"time"
 
@@ -267,9 +268,9 @@
 		doc.Add(key, "want an IP address, got %q", host)
 		return false
 	}
-	number, err := net.LookupPort("tcp", port)
+	number, err := strconv.ParseUint(port, 10, 16)
 	if err != nil || (number == 0 && !allowZeroPort) {
-		doc.Add(key, "want a port number, got %q", port)
+		doc.Add(key, "want a port number up to 65535, got %q", port)
 		return false
 	}
 	return true
--- a/process/settings/settings_test.go
+++ b/process/settings/settings_test.go
@@ -53,3 +53,13 @@
 		t.Errorf("got %d findings, want %d:\n%v", len(findings), len(want), findings)
 	}
 }
+
+// Guards against an advertised address that a node publishes and no other can use.
+func TestPortIsANumber(t *testing.T) {
+	for _, port := range []string{"http", "0", "+1", "65536"} {
+		text := strings.Replace(settings.Template, "peer_control = \"\"", "peer_control = \"127.0.0.1:"+port+"\"", 1)
+		if _, findings := settings.Parse("node.toml", []byte(text)); len(findings) != 1 || findings[0].Key != "advertise.peer_control" {
+			t.Errorf("port %q: findings %v", port, findings)
+		}
+	}
+}
