--- a/process/gate/fuzz_test.go
+++ b/process/gate/fuzz_test.go
@@ -15,7 +15,7 @@
 	f.Fuzz(func(t *testing.T, id, timeout, age, share, digest, key string) {
 		e := newExchange(newBudgetGate(t, &fakeClock{}), false)
 		e.r.Header = http.Header{attempt.HeaderAttempt: {id}, attempt.HeaderTimeoutMS: {timeout}, attempt.HeaderAgeMS: {age},
-			attempt.HeaderCallerRetries: {share}, attempt.HeaderRequestDigest: {digest}, attempt.HeaderOrder: {key}}
+			attempt.HeaderCallerRetries: {share}, attempt.HeaderRequestDigest: {digest}, attempt.HeaderSharedDigest: {digest}, attempt.HeaderOrder: {key}}
 		if err := e.parse(); err != nil {
 			return
 		}
--- a/request/poison/poison.go
+++ b/request/poison/poison.go
@@ -14,9 +14,9 @@
 	SuspectTTL time.Duration // time after which a crash is forgotten; default 10 min
 	RemoteTTL  time.Duration // validity of another node's in-flight report; default 3 s
 	MaxDigests int           // maximum number of suspects, and of quarantined digests; default 4096
-	// AcrossRequests tracks digests that several requests share: a digest is quarantined
+	// acrossRequests tracks digests that several requests share: a digest is quarantined
 	// only when no single request explains its crashes.
-	AcrossRequests       bool
+	acrossRequests       bool
 	blameAll             bool // for tests: copies in flight at the first crash count towards a second one
 	unrestrictedSuspects bool // for tests: suspects run at any target, several at once
 	keepOnSuccess        bool // for tests: a success clears nothing
@@ -71,7 +71,7 @@
 	Target  string    `json:"target"`
 	Started time.Time `json:"started"` // latest start of a copy at this target
 	At      time.Time `json:"at"`
-	// Request is the digest of the request in flight when Options.AcrossRequests is
+	// Request is the digest of the request in flight when Options.acrossRequests is
 	// set, otherwise 0.
 	Request RequestDigest `json:"request,omitempty"`
 }
@@ -311,7 +311,7 @@
 	switch {
 	case t.opts.blameAll:
 		return len(crashes) >= 2
-	case t.opts.AcrossRequests:
+	case t.opts.acrossRequests:
 		return spanRequests(crashes)
 	}
 	return len(crashes) >= 2 && slices.ContainsFunc(crashes[1:], func(c CrashRecord) bool { return c.Started.After(crashes[0].At) })
--- a/request/poison/requests.go
+++ b/request/poison/requests.go
@@ -36,7 +36,7 @@
 // NewRequestTracker returns an empty RequestTracker.
 func NewRequestTracker(opts Options) *RequestTracker {
 	requests, shared := opts, opts
-	shared.AcrossRequests = true
+	shared.acrossRequests = true
 	return &RequestTracker{requests: New(requests), shared: New(shared)}
 }
 
