--- a/cmd/hyssopsilld/e2e_test.go
+++ b/cmd/hyssopsilld/e2e_test.go
@@ -597,19 +597,7 @@
 // quarantine of requests that crash none.
 func TestPoisonousRequestIsQuarantined(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, 2, false)
-	f.publish(testConfig)
-	var targets []*targetProcess
-	var ids []string
-	for i := range 5 {
-		id := fmt.Sprintf("t%d", i+1)
-		p := f.addTarget(f.nodes[i%2], id, "shop")
-		targets, ids = append(targets, p), append(ids, id)
-	}
-	f.waitReady(ids...)
-	for _, p := range targets {
-		p.setFaults(t, `{"crash_on":"poison"}`)
-	}
+	f, targets := newFleetOfTargets(t, 5, `{"crash_on":"poison"}`)
 	var last response
 	for range 8 {
 		last = f.nodes[0].sendRequest("GET", "/kits?echo=poison", "")
@@ -618,15 +606,7 @@
 	if last.outcome != "not-run" || last.reason != "quarantined" {
 		t.Errorf("got %s %s, want the quarantine", last.outcome, last.reason)
 	}
-	crashed := 0
-	for _, p := range targets {
-		select {
-		case <-p.exited:
-			crashed++
-		default:
-		}
-	}
-	if crashed > 2 {
+	if crashed := countExited(targets); crashed > 2 {
 		t.Errorf("%d targets crashed, want at most 2", crashed)
 	}
 	if resp := f.nodes[0].sendRequest("GET", "/kits?echo=fine", ""); resp.status != 200 {
@@ -639,19 +619,7 @@
 // customer's request.
 func TestPoisonousRequestOfOneCustomerIsQuarantined(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, 2, false)
-	f.publish(testConfig)
-	var targets []*targetProcess
-	var ids []string
-	for i := range 8 {
-		id := fmt.Sprintf("t%d", i+1)
-		p := f.addTarget(f.nodes[i%2], id, "shop")
-		targets, ids = append(targets, p), append(ids, id)
-	}
-	f.waitReady(ids...)
-	for _, p := range targets {
-		p.setFaults(t, `{"crash_on":"kits","crash_customer":"a"}`)
-	}
+	f, targets := newFleetOfTargets(t, 8, `{"crash_on":"kits","crash_customer":"a"}`)
 	for i := range 6 {
 		f.nodes[i%2].sendRequest("GET", "/kits", "", "X-Customer", "a")
 		for range 4 { // an innocent copy may be refused until the success of another is known
@@ -659,15 +627,7 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 	}
-	crashed := 0
-	for _, p := range targets {
-		select {
-		case <-p.exited:
-			crashed++
-		default:
-		}
-	}
-	if crashed > 2 {
+	if crashed := countExited(targets); crashed > 2 {
 		t.Errorf("%d targets crashed, want at most 2", crashed)
 	}
 	if resp := f.nodes[0].sendRequest("GET", "/kits", "", "X-Customer", "a"); resp.reason != "quarantined" {
@@ -678,6 +638,36 @@
 	}
 }
 
+// newFleetOfTargets starts two nodes with targets of the service shop that inject faults.
+func newFleetOfTargets(t *testing.T, targets int, faults string) (*fleet, []*targetProcess) {
+	t.Helper()
+	f := newFleet(t, 2, false)
+	f.publish(testConfig)
+	var processes []*targetProcess
+	var ids []string
+	for i := range targets {
+		id := fmt.Sprintf("t%d", i+1)
+		processes, ids = append(processes, f.addTarget(f.nodes[i%2], id, "shop")), append(ids, id)
+	}
+	f.waitReady(ids...)
+	for _, p := range processes {
+		p.setFaults(t, faults)
+	}
+	return f, processes
+}
+
+func countExited(targets []*targetProcess) int {
+	n := 0
+	for _, p := range targets {
+		select {
+		case <-p.exited:
+			n++
+		default:
+		}
+	}
+	return n
+}
+
 // Guards against a node that buffers a large body in memory instead of forwarding
 // it, in either direction.
 func TestLargeBodiesKeepMemoryFlat(t *testing.T) {
--- a/cmd/hyssopsilld/endless_test.go
+++ b/cmd/hyssopsilld/endless_test.go
@@ -66,16 +66,7 @@
 			go sendEndlessly(conn, endlessResponses[i%len(endlessResponses)])
 		}
 	}()
-	body := fmt.Sprintf(`{"service":"faulty","address":%q,"slots":64,"ttl_ms":60000}`, listener.Addr())
-	req, _ := http.NewRequest(http.MethodPut, "http://"+n.announce+"/v1/targets/endless", strings.NewReader(body))
-	resp, err := client.Do(req)
-	if err != nil {
-		t.Fatal(err)
-	}
-	_ = resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		t.Fatalf("announcement: %s", resp.Status)
-	}
+	put(t, "http://"+n.announce+"/v1/targets/endless", fmt.Sprintf(`{"service":"faulty","address":%q,"slots":64,"ttl_ms":60000}`, listener.Addr()))
 }
 
 func sendEndlessly(conn net.Conn, response [2]string) {
--- a/cmd/hyssopsilld/harness_test.go
+++ b/cmd/hyssopsilld/harness_test.go
@@ -234,14 +234,19 @@
 
 func (p *targetProcess) setFaults(t testing.TB, text string) {
 	t.Helper()
-	req, _ := http.NewRequest(http.MethodPut, "http://"+p.control+"/v1/faults", strings.NewReader(text))
+	put(t, "http://"+p.control+"/v1/faults", text)
+}
+
+func put(t testing.TB, url, body string) {
+	t.Helper()
+	req, _ := http.NewRequest(http.MethodPut, url, strings.NewReader(body))
 	resp, err := client.Do(req)
 	if err != nil {
 		t.Fatal(err)
 	}
 	_ = resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		t.Fatalf("faults %s: %s", text, resp.Status)
+		t.Fatalf("PUT %s %s: %s", url, body, resp.Status)
 	}
 }
 
