--- a/cmd/hyssopsilld/harness_test.go
+++ b/cmd/hyssopsilld/harness_test.go
@@ -311,13 +311,17 @@
 
 // publish appends the change from the configuration in force to the one in text and
 // returns its offset.
+// setupTimeout bounds a call of a test's set-up to the log. All tests start their
+// processes at the same time.
+const setupTimeout = 10 * time.Second
+
 func (f *fleet) publish(text string) int64 {
 	f.t.Helper()
 	proposed, findings := config.Parse("test.toml", []byte(text))
 	if len(findings) > 0 {
 		f.t.Fatal(findings)
 	}
-	log, err := platform.NewStore(platform.StoreOptions{BaseURL: f.logURL})
+	log, err := platform.NewStore(platform.StoreOptions{BaseURL: f.logURL, Timeout: setupTimeout})
 	if err != nil {
 		f.t.Fatal(err)
 	}
