--- a/cmd/hyssopsilld/harness_test.go
+++ b/cmd/hyssopsilld/harness_test.go
@@ -309,12 +309,12 @@
 	t.Fatalf("not reached within %s: %s", d, description)
 }
 
-// publish appends the change from the configuration in force to the one in text and
-// returns its offset.
 // setupTimeout bounds a call of a test's set-up to the log. All tests start their
 // processes at the same time.
 const setupTimeout = 10 * time.Second
 
+// publish appends the change from the configuration in force to the one in text and
+// returns its offset.
 func (f *fleet) publish(text string) int64 {
 	f.t.Helper()
 	proposed, findings := config.Parse("test.toml", []byte(text))
