--- a/request/attempt/headers.go
+++ b/request/attempt/headers.go
@@ -11,6 +11,7 @@
 	HeaderOutcome        = "Hyssopsill-Outcome"
 	HeaderTimeoutMS      = "Hyssopsill-Timeout-Ms" // time left until the deadline, milliseconds
 	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderAccountKey     = "Hyssopsill-Api-Key"
 	HeaderTakesRate      = "Target-Rate"    // requests/s that a target in need takes
 	HeaderLeaving        = "Target-Leaving" // "1": the target takes no new work
 )
@@ -22,6 +23,9 @@
 	HeaderService           = "Hyssopsill-Service"
 	HeaderClass             = "Hyssopsill-Class"
 	HeaderCustomer          = "Hyssopsill-Customer"
+	HeaderAccountName       = "Hyssopsill-Account" // the client account, also towards targets in the default profile
+	HeaderRank              = "Hyssopsill-Rank"    // urgency, 0 is the most urgent: 16 × rank of the account + rank of the class
+	HeaderLoads             = "Hyssopsill-Loads"   // in responses: loads of other targets of the service, with their ages
 	HeaderConfigVersion     = "Hyssopsill-Config-Version"
 	HeaderFleet             = "Hyssopsill-Fleet"
 	HeaderVerdict           = "Hyssopsill-Verdict"
--- a/request/attempt/http_profile.go
+++ b/request/attempt/http_profile.go
@@ -32,6 +32,11 @@
 	TargetRate string
 	// TargetLeaving is "1" in the responses of a target that takes no new work.
 	TargetLeaving string
+	// AccountKey carries a caller's API key; it is never forwarded to a target.
+	AccountKey string
+	// AccountName carries the name of the client account to targets. The gate sets it
+	// and ignores what the caller sent.
+	AccountName string
 	// CallerRequestIDs is set when callers choose the RequestID and targets echo it.
 	CallerRequestIDs bool
 	// StrictStatus is set when callers take 429 and 503 to mean that the work did
@@ -47,7 +52,7 @@
 // DefaultHTTPProfile holds the project's own header fields.
 var DefaultHTTPProfile = HTTPProfile{
 	RequestID: HeaderRequestID, Timeout: HeaderTimeoutMS, Outcome: HeaderOutcome, OrderKey: HeaderIdempotencyKey,
-	TargetRate: HeaderTakesRate, TargetLeaving: HeaderLeaving,
+	TargetRate: HeaderTakesRate, TargetLeaving: HeaderLeaving, AccountKey: HeaderAccountKey, AccountName: HeaderAccountName,
 }
 
 // SaysLeaving reports whether the target that sent a response takes no new work.
--- a/version/config/model.go
+++ b/version/config/model.go
@@ -40,6 +40,23 @@
 	CustomerHeader string             `toml:"customer_header,omitempty"`
 	Services       map[string]Service `toml:"services"`
 	Routes         []Route            `toml:"routes"`
+	// Accounts are the client accounts by name. With at least one, requests need
+	// the API key of an account unless their route is public.
+	Accounts map[string]Account `toml:"accounts,omitempty"`
+}
+
+// Account is a client account: a customer that is known by its API keys.
+type Account struct {
+	// Keys are the API keys. Requests with any of them belong to the account.
+	Keys []string `toml:"keys,omitempty"`
+	// Rank goes before the rank of the class; 0 is the most urgent. Default nil:
+	// the rank of the class alone counts.
+	Rank *int `toml:"rank,omitempty"`
+	// Rate bounds the requests/s of the account over the fleet; 0 means no limit.
+	Rate float64 `toml:"rate,omitempty"`
+	// Burst is the number of requests beyond the rate that the account may send at
+	// once.
+	Burst float64 `toml:"burst,omitempty"`
 }
 
 // Service is a set of interchangeable targets and the limits on their requests.
@@ -74,6 +91,8 @@
 type Class struct {
 	// Priority under overload. Default interactive.
 	Priority Priority `toml:"priority,omitempty"`
+	// Rank orders the work of one priority; 0, the default, is the most urgent.
+	Rank int `toml:"rank,omitempty"`
 	// Deadline bounds a request including all attempts. Default 2s.
 	Deadline Duration `toml:"deadline,omitempty"`
 	// Objective is the latency within which a response has its full value. Work
@@ -106,6 +125,8 @@
 	// Split distributes the requests over several services in place of Service.
 	Split []SplitShare `toml:"split,omitempty"`
 	Class string       `toml:"class"`
+	// Public routes need no API key.
+	Public bool `toml:"public,omitempty"`
 }
 
 // SplitShare is a part of the requests of a split route.
