process/gate: TestSlotsAndDrain drains only after all requests have arrived

The test slept 75 ms and took it that two requests of 150 ms still ran. At a load of 37 on 7 cores it failed once (4 ran, 2 were refused), as the sleep took longer than the work. It now waits until all six attempts are at the gate, with work of 1 s. The check is the same.

--- a/process/gate/gate_test.go
+++ b/process/gate/gate_test.go
@@ -233,7 +233,10 @@
 	var wg sync.WaitGroup
 	responses := make([]attemptResponse, 6)
 	for i := range responses {
-		wg.Go(func() { responses[i] = f.send(attemptID(fmt.Sprintf("r%d", i)), "/a?work_ms=150", 3*time.Second) })
+		wg.Go(func() { responses[i] = f.send(attemptID(fmt.Sprintf("r%d", i)), "/a?work_ms=1000", 10*time.Second) })
+	}
+	for f.gate.Running() < len(responses) { // all have arrived; the work takes longer than that
+		time.Sleep(time.Millisecond)
 	}
 	time.Sleep(75 * time.Millisecond)
 	if _, ok := f.gate.DrainTarget(time.Now(), "t1"); !ok {
