version/document: peers announce a document, and each node fetches it once

With the 88 accounts of a customer a document is about 20 KB.

A node now announces its version; a peer with an older one fetches the document, from its own failure domain unless no node there has it for 200 ms.

--- a/process/control/documents.go
+++ b/process/control/documents.go
@@ -301,7 +301,7 @@
 	}
 }
 
-// offer puts a document in force if it is newer, and then pushes it to peers. The
+// offer puts a document in force if it is newer, and then announces it to peers. The
 // sender is named in the record of a refused document.
 func (d *Documents) offer(data []byte, source document.Source, sender string) {
 	d.mu.Lock()
@@ -321,18 +321,23 @@
 	}
 	for _, p := range pushPeers {
 		d.calls.start(func(ctx context.Context) {
-			request := &controlpb.ConfigurationRequest{From: d.options.Core.Node, Entries: []*controlpb.Entry{{Offset: version, Data: data}}}
-			_, _ = d.options.Client.Configuration(ctx, p.Address, request) // a peer that misses it fetches it
+			request := &controlpb.ConfigurationRequest{From: d.options.Core.Node, After: version} // no entries are wanted
+			_, _ = d.options.Client.Configuration(ctx, p.Address, request)                        // a peer that misses it learns of the version by gossip
 		})
 	}
 }
 
 // Configuration implements Handler: it offers the documents that a peer sends and
-// returns the one in force if it is newer than the peer's.
+// returns the one in force if it is newer than the peer's. A request for no entries
+// announces the version that the peer has; each node then gets the document once, while
+// several peers announce it.
 func (d *Documents) Configuration(_ context.Context, r *controlpb.ConfigurationRequest) (*controlpb.ConfigurationResponse, error) {
 	for _, e := range r.GetEntries() {
 		d.offer(e.GetData(), document.FromPeer, "peer "+r.GetFrom())
 	}
+	if r.GetLimit() == 0 && r.GetAfter() > 0 {
+		d.handleAnnouncement(r.GetFrom(), r.GetAfter())
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	version := d.core.Version()
@@ -343,6 +348,18 @@
 	return response, nil
 }
 
+// handleAnnouncement fetches the document of a peer that announced a newer one, unless it
+// was requested elsewhere already.
+func (d *Documents) handleAnnouncement(node string, version int64) {
+	d.mu.Lock()
+	peer, ok := d.core.Announce(time.Now(), node, version)
+	after := d.core.Version()
+	d.mu.Unlock()
+	if ok {
+		d.calls.start(func(ctx context.Context) { d.fetch(ctx, peer, after) })
+	}
+}
+
 // Snapshot implements Handler. Documents need no snapshots, so it returns nil.
 func (d *Documents) Snapshot(context.Context, int64) ([]byte, error) { return nil, nil }
 
--- a/version/document/core.go
+++ b/version/document/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"maps"
 	"math/rand/v2"
 	"reflect"
 	"slices"
@@ -13,9 +14,9 @@
 )
 
 const (
-	// DefaultFanOut is the number of random peers to which a node forwards a new
-	// document. With 4 random peers the document reaches 98 of 100 nodes. As each
-	// node also forwards it to its successor by name, it reaches all but about 3 in
+	// DefaultFanOut is the number of random peers to which a node announces a new
+	// document. With 4 random peers the announcements reach 98 of 100 nodes. As each
+	// node also announces it to its successor by name, they reach all but about 3 in
 	// 10,000, which learn of the version through membership and request it.
 	DefaultFanOut = 4
 	// MinReaders is the minimum number of nodes in each failure domain that follow
@@ -32,6 +33,11 @@
 	MinWatchers = 3
 	// requestInterval is the time between requests to peers for a newer document.
 	requestInterval = 300 * time.Millisecond
+	// foreignDelay is the time for which a node waits for a peer of its own failure domain
+	// to have a newer document before it requests it from another one. Bytes between
+	// failure domains are paid for, and readers in each domain get a document from the log
+	// service at about the same time.
+	foreignDelay = 200 * time.Millisecond
 )
 
 // Options of a Core.
@@ -44,7 +50,7 @@
 	// OnConfig is called with each configuration that comes into force, in order
 	// of versions.
 	OnConfig func(*config.Config)
-	// FanOut is the number of random peers to which a new document is forwarded.
+	// FanOut is the number of random peers to which a new document is announced.
 	// Default DefaultFanOut.
 	FanOut int
 }
@@ -76,6 +82,8 @@
 	config      *config.Config
 	data        []byte
 	peers       []distribute.Peer
+	announced   map[string]int64 // by node, the newest version that it announced
+	newerSince  time.Time        // when a peer was first known to have a newer document; zero without one
 	access      distribute.Access
 	nextRequest time.Time
 }
@@ -85,7 +93,7 @@
 	if o.FanOut <= 0 {
 		o.FanOut = DefaultFanOut
 	}
-	return &Core{options: o, random: random, reporter: reporter}
+	return &Core{options: o, random: random, reporter: reporter, announced: map[string]int64{}}
 }
 
 // Version returns the version in force, 0 without one.
@@ -99,6 +107,22 @@
 // SetPeers replaces the peers by those that membership reports.
 func (c *Core) SetPeers(peers []distribute.Peer) {
 	c.peers = slices.DeleteFunc(slices.Clone(peers), func(p distribute.Peer) bool { return p.Node == c.options.Node })
+	for i := range c.peers {
+		p := &c.peers[i]
+		p.Version = max(p.Version, c.announced[p.Node])
+	}
+}
+
+// Announce records that a peer has announced a version, and returns the peer if its
+// document is to be requested from it now.
+func (c *Core) Announce(now time.Time, node string, version int64) (distribute.Peer, bool) {
+	i := slices.IndexFunc(c.peers, func(p distribute.Peer) bool { return p.Node == node })
+	if i < 0 || version <= c.Version() {
+		return distribute.Peer{}, false
+	}
+	c.announced[node] = max(version, c.announced[node])
+	c.peers[i].Version = max(version, c.peers[i].Version)
+	return c.NewerPeer(now)
 }
 
 // Readers chooses the nodes that follow the log service.
@@ -139,6 +163,8 @@
 		c.reporter.Check(invariant.ConfigForward, next.Version >= c.Version(), "version %d after %d", next.Version, c.Version())
 	}
 	c.config, c.data = next, slices.Clone(data)
+	c.newerSince, c.nextRequest = time.Time{}, time.Time{} // requests are limited while none succeeds
+	maps.DeleteFunc(c.announced, func(_ string, version int64) bool { return version <= next.Version })
 	if c.options.OnConfig != nil {
 		c.options.OnConfig(next)
 	}
@@ -158,7 +184,7 @@
 // NewerThan returns the document in force and whether it is newer than a version.
 func (c *Core) NewerThan(version int64) ([]byte, bool) { return c.data, c.Version() > version }
 
-// PushPeers returns the peers to which this node forwards the document in force:
+// PushPeers returns the peers to which this node announces the document in force:
 // random ones and the successor, without those that already have its version.
 func (c *Core) PushPeers() []distribute.Peer {
 	var out []distribute.Peer
@@ -197,19 +223,32 @@
 }
 
 // NewerPeer returns a random peer from which to request a newer document, at most
-// once each requestInterval. Without a document it returns any peer, since the
-// versions known of them may be out of date.
+// once each requestInterval. A peer of another failure domain is returned only when
+// none of the own domain has had a newer document for foreignDelay. Without a document
+// it returns any peer, since the versions known of them may be out of date.
 func (c *Core) NewerPeer(now time.Time) (distribute.Peer, bool) {
-	if now.Before(c.nextRequest) {
-		return distribute.Peer{}, false
-	}
-	var newer []distribute.Peer
+	var own, foreign []distribute.Peer
 	for _, p := range c.peers {
-		if p.Version > c.Version() || c.config == nil {
-			newer = append(newer, p)
+		switch {
+		case p.Version <= c.Version() && c.config != nil:
+		case p.Domain == c.options.Domain:
+			own = append(own, p)
+		default:
+			foreign = append(foreign, p)
 		}
 	}
-	if len(newer) == 0 {
+	if len(own)+len(foreign) == 0 {
+		c.newerSince = time.Time{}
+		return distribute.Peer{}, false
+	}
+	if c.newerSince.IsZero() {
+		c.newerSince = now
+	}
+	newer := own
+	if c.config == nil || len(own) == 0 && now.Sub(c.newerSince) >= foreignDelay {
+		newer = append(own, foreign...)
+	}
+	if len(newer) == 0 || now.Before(c.nextRequest) {
 		return distribute.Peer{}, false
 	}
 	c.nextRequest = now.Add(requestInterval)
