--- a/version/document/announce_test.go
+++ b/version/document/announce_test.go
@@ -33,6 +33,7 @@
 // documentFleet distributes one document by announcements.
 type documentFleet struct {
 	random          *rand.Rand
+	nodes           []string
 	cores           map[string]*Core
 	peers           map[string]distribute.Peer
 	events          deliveries
@@ -49,6 +50,7 @@
 		p := distribute.Peer{Node: fmt.Sprintf("n%d-%d", i%domains, i/domains), Domain: strconv.Itoa(i % domains), Version: 1}
 		peers = append(peers, p)
 		f.peers[p.Node] = p
+		f.nodes = append(f.nodes, p.Node)
 	}
 	for i, p := range peers {
 		c := New(Options{Node: p.Node, Domain: p.Domain, Decode: decode}, rand.New(rand.NewPCG(7, uint64(i))), nil)
@@ -104,8 +106,9 @@
 // a second.
 func (f *documentFleet) gossip() {
 	var peers []distribute.Peer
-	for _, p := range f.peers {
-		p.Version = f.cores[p.Node].Version()
+	for _, node := range f.nodes {
+		p := f.peers[node]
+		p.Version = f.cores[node].Version()
 		peers = append(peers, p)
 	}
 	for _, c := range f.cores {
@@ -115,7 +118,7 @@
 
 // run gives document 2 to a third of the nodes, and stops after two seconds.
 func (f *documentFleet) run(start time.Time) {
-	for node := range f.cores {
+	for _, node := range f.nodes {
 		if f.random.Float64() < 1.0/3 {
 			heap.Push(&f.events, delivery{start.Add(time.Duration(f.random.Int64N(int64(20 * time.Millisecond)))), func(now time.Time) { f.offer(now, node, "2") }})
 		}
