request/account, version/config: accounts are parsed, checked and changed

Accounts had types, but no key of them was read or checked, so a faulty or shared API key could have come into force. Validation reports faults of accounts and ranks at their place, never with the key. Changes get the object accounts/NAME, so that publish adds, removes and rotates keys; a key that another account holds is rejected also across changes. An object without any key is written as a comment, as an empty value deletes it.

--- a/version/config/change.go
+++ b/version/config/change.go
@@ -86,7 +86,7 @@
 	for i, edit := range c.Edits {
 		key := fmt.Sprintf("edits[%d]", i)
 		if !validObjectPath(edit.Object) {
-			add(key+".object", "%q: want customers, services/NAME or routes/ID", edit.Object)
+			add(key+".object", "%q: want customers, services/NAME, routes/ID or accounts/NAME", edit.Object)
 		}
 		if seen[edit.Object] {
 			add(key+".object", "%q is edited twice", edit.Object)
@@ -111,6 +111,9 @@
 			return namePattern.MatchString(name)
 		}
 	}
+	if name, ok := strings.CutPrefix(path, prefixAccounts); ok {
+		return accountPattern.MatchString(name)
+	}
 	return false
 }
 
--- a/version/config/doc.go
+++ b/version/config/doc.go
@@ -6,6 +6,7 @@
 //
 //	customers        customer_header
 //	services/NAME    one Service
+//	accounts/NAME    one Account
 //	routes/ID        one Route; id may be left out
 //
 // It imports finding, eventlog and request packages.
--- a/version/config/encode.go
+++ b/version/config/encode.go
@@ -23,6 +23,7 @@
 	ObjectCustomers = "customers"
 	prefixServices  = "services/"
 	prefixRoutes    = "routes/"
+	prefixAccounts  = "accounts/"
 )
 
 // Objects splits the configuration into its objects and their TOML values.
@@ -51,9 +52,22 @@
 			return nil, err
 		}
 	}
+	for name, account := range c.Accounts {
+		if err := put(prefixAccounts+name, account); err != nil {
+			return nil, err
+		}
+	}
+	for path, value := range out {
+		if value == "" { // an empty value would delete the object
+			out[path] = emptyObject
+		}
+	}
 	return out, nil
 }
 
+// emptyObject is the TOML of an object without keys, such as an account that has none.
+const emptyObject = "# empty\n"
+
 // Difference is one object that differs between two configurations. From or To
 // is empty when the object does not exist there.
 type Difference struct {
--- a/version/config/parse.go
+++ b/version/config/parse.go
@@ -35,6 +35,9 @@
 			c.Services[name] = s
 		}
 	}
+	for name, value := range tables(raw["accounts"]) {
+		checkIntegers(doc, "accounts."+name, value)
+	}
 	c.applyDefaults()
 	c.validate(doc.Add)
 	if list := doc.Findings(); len(list) > 0 {
@@ -72,6 +75,17 @@
 	return r, doc.Findings().Sorted()
 }
 
+func parseAccount(file string, data []byte) (Account, finding.List) {
+	var a Account
+	doc, raw, list := decode(file, data, MaxValueBytes, &a)
+	if doc == nil {
+		return a, list
+	}
+	checkIntegers(doc, "", raw)
+	a.validate("", doc.Add)
+	return a, doc.Findings().Sorted()
+}
+
 type customers struct {
 	CustomerHeader string `toml:"customer_header"`
 }
--- a/version/config/stage.go
+++ b/version/config/stage.go
@@ -30,6 +30,7 @@
 	s.checkSize(staged, add)
 	s.checkReferences(staged, add)
 	s.checkAmbiguousRoutes(staged, add)
+	s.checkSharedKeys(staged, add)
 	return staged, list.Sorted()
 }
 
@@ -50,6 +51,10 @@
 		var s Service
 		s, list = parseService(file, []byte(value))
 		o.service = &s
+	case strings.HasPrefix(path, prefixAccounts):
+		var a Account
+		a, list = parseAccount(file, []byte(value))
+		o.account = &a
 	default:
 		var r Route
 		r, list = parseRoute(file, strings.TrimPrefix(path, prefixRoutes), []byte(value))
@@ -144,3 +149,28 @@
 		}
 	}
 }
+
+// checkSharedKeys reports staged accounts that hold an API key of another account.
+func (s *State) checkSharedKeys(staged map[string]*object, add addFunc) {
+	stagedByKey := map[string]string{}
+	for _, path := range slices.Sorted(maps.Keys(staged)) {
+		o := staged[path]
+		if o == nil || o.account == nil {
+			continue
+		}
+		name := strings.TrimPrefix(path, prefixAccounts)
+		for i, key := range o.account.Keys {
+			other, exists := stagedByKey[key]
+			if !exists {
+				other, exists = s.accountByKey[key]
+				_, edited := staged[prefixAccounts+other]
+				exists = exists && !edited
+			}
+			if exists && other != name {
+				addSharedKey(path, i, name, other, add)
+				continue
+			}
+			stagedByKey[key] = name
+		}
+	}
+}
--- a/version/config/state.go
+++ b/version/config/state.go
@@ -67,12 +67,13 @@
 }
 
 // object is one object of the configuration, as TOML and parsed. Exactly one of
-// service, route and customers is set.
+// service, route, account and customers is set.
 type object struct {
 	version   int64
 	value     string
 	service   *Service
 	route     *Route
+	account   *Account
 	customers *customers
 }
 
@@ -99,6 +100,7 @@
 	objects         map[string]*object
 	deleted         map[string]int64  // version of the deletion by path
 	routeByMatchKey map[string]string // route id
+	accountByKey    map[string]string // account name by API key
 	recentChanges   []recentChange    // in order of offsets
 	history         []HistoryEntry    // in order of offsets
 	historyFloor    int64             // offset of the last applied change that history dropped
@@ -108,7 +110,7 @@
 
 // NewState returns a State without records.
 func NewState() *State {
-	return &State{objects: map[string]*object{}, deleted: map[string]int64{}, routeByMatchKey: map[string]string{}}
+	return &State{objects: map[string]*object{}, deleted: map[string]int64{}, routeByMatchKey: map[string]string{}, accountByKey: map[string]string{}}
 }
 
 // SetReporter sets the reporter that receives the checks of config-forward.
@@ -252,6 +254,11 @@
 			s.routeByMatchKey[matchKey] = o.route.ID
 		}
 	}
+	if o.account != nil {
+		for _, key := range o.account.Keys {
+			s.accountByKey[key] = strings.TrimPrefix(path, prefixAccounts)
+		}
+	}
 }
 
 func (s *State) remove(path string) {
@@ -266,6 +273,11 @@
 			delete(s.routeByMatchKey, matchKey)
 		}
 	}
+	if o.account != nil {
+		for _, key := range o.account.Keys {
+			delete(s.accountByKey, key)
+		}
+	}
 }
 
 // prune removes change ids and deleted objects that are older than dedupWindow.
@@ -292,6 +304,11 @@
 			c.Services[strings.TrimPrefix(path, prefixServices)] = *o.service
 		case o.route != nil:
 			c.Routes = append(c.Routes, *o.route)
+		case o.account != nil:
+			if c.Accounts == nil {
+				c.Accounts = map[string]Account{}
+			}
+			c.Accounts[strings.TrimPrefix(path, prefixAccounts)] = *o.account
 		case o.customers != nil:
 			c.CustomerHeader = o.customers.CustomerHeader
 		}
--- a/version/config/validate.go
+++ b/version/config/validate.go
@@ -10,19 +10,25 @@
 	"time"
 
 	"github.com/hyssopsill/hyssopsill/finding"
+	"github.com/hyssopsill/hyssopsill/request/account"
 )
 
 const (
 	minDuration = Duration(time.Millisecond)
 	maxDuration = Duration(24 * time.Hour)
 	maxBodySize = int64(1 << 40) // bytes
+	// MaxAccounts bounds the accounts of a configuration. The design size is 52,000.
+	MaxAccounts = 100_000
 )
 
 var (
 	namePattern   = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
 	headerPattern = regexp.MustCompile("^[A-Za-z0-9!#$%&'*+.^_`|~-]{1,64}$")
 	methodPattern = regexp.MustCompile(`^[A-Z]{1,16}$`)
-	hostPattern   = regexp.MustCompile(`^[A-Za-z0-9.:\[\]-]{1,255}$`)
+	// accountPattern allows names that are safe in a header field and in the path of an
+	// object. It is wider than namePattern because platforms choose the names.
+	accountPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
+	hostPattern    = regexp.MustCompile(`^[A-Za-z0-9.:\[\]-]{1,255}$`)
 )
 
 // addFunc records a finding at a dotted key.
@@ -65,6 +71,62 @@
 			routeByMatchKey[matchKey] = r.ID
 		}
 	}
+	c.validateAccounts(add)
+}
+
+func (c *Config) validateAccounts(add addFunc) {
+	if len(c.Accounts) > MaxAccounts {
+		add("accounts", "%d accounts, at most %d", len(c.Accounts), MaxAccounts)
+		return
+	}
+	accountByKey := map[string]string{}
+	for _, name := range slices.Sorted(maps.Keys(c.Accounts)) {
+		path, a := "accounts."+name, c.Accounts[name]
+		if !accountPattern.MatchString(name) {
+			add(path, "name %q: want letters, digits, '.', '_' and '-', at most 128", name)
+		}
+		a.validate(path, add)
+		for i, key := range a.Keys {
+			if other, ok := accountByKey[key]; ok && other != name {
+				addSharedKey(path, i, name, other, add)
+				continue
+			}
+			accountByKey[key] = name
+		}
+	}
+}
+
+// addSharedKey reports that two accounts hold the same API key. Findings are logged,
+// so they never contain a key.
+func addSharedKey(path string, index int, name, other string, add addFunc) {
+	add(fmt.Sprintf("%s.keys[%d]", path, index), "account %q has the same key as account %q", name, other)
+}
+
+func (a *Account) validate(path string, add addFunc) {
+	for i, key := range a.Keys {
+		switch field := fmt.Sprintf("%s[%d]", joinKey(path, "keys"), i); {
+		case key == "":
+			add(field, "the key is empty")
+		case len(key) > account.MaxKeyBytes:
+			add(field, "the key has %d bytes, at most %d", len(key), account.MaxKeyBytes)
+		case strings.ContainsFunc(key, func(r rune) bool { return r <= ' ' || r > '~' }):
+			add(field, "the key has characters other than visible ASCII")
+		}
+	}
+	if a.Rank != nil {
+		checkRank(joinKey(path, "rank"), *a.Rank, add)
+	}
+	checkNotNegative(joinKey(path, "rate"), a.Rate, add)
+	checkNotNegative(joinKey(path, "burst"), a.Burst, add)
+	if a.Burst > 0 && a.Rate == 0 {
+		add(joinKey(path, "burst"), "a burst needs a rate")
+	}
+}
+
+func checkRank(key string, rank int, add addFunc) {
+	if rank < 0 || rank > account.MaxRank {
+		add(key, "is %d, want 0 to %d", rank, account.MaxRank)
+	}
 }
 
 func (c *Config) lookupService(name string) (*Service, bool) {
@@ -117,6 +179,7 @@
 	if c.Objective != 0 {
 		checkDuration(key+".objective", c.Objective, add)
 	}
+	checkRank(key+".rank", c.Rank, add)
 	checkNotNegative(key+".max_attempts", float64(c.MaxAttempts), add)
 	if c.MaxBody < 0 || c.MaxBody > maxBodySize {
 		add(key+".max_body", "is %d, want 0 to %d bytes", c.MaxBody, maxBodySize)
