process/entry, process/gate: requests need the API key of an account

With accounts in the configuration, the entry finds the account of a request by its key and refuses others with 401 (not-run) unless their route is public; issuing order keys needs a key too. Entry and gate both remove the key and what the caller sent as account name; the gate sets the name for the target. Hyssopsill-Account and Hyssopsill-Rank go from entry to gate, the rank only where requests may differ in it, and on to admission.Work.Rank. The account is the customer. A caller without an account whose customer header names an account gets another customer name, as it could otherwise read stored responses to the account's orders. checkAccountQuota is the place for the quota.

--- a/connection/admission/types.go
+++ b/connection/admission/types.go
@@ -94,6 +94,7 @@
 	Target   string
 	Class    string // key of Target.Classes; an unknown class is short and interactive
 	Customer string
+	Rank     int       // urgency, 0 is the most urgent: 16 × rank of the account + rank of the class; -1 when absent
 	Deadline time.Time // zero: none
 	// ArrivedAt is when the request arrived at the fleet; its objective counts
 	// from then. Zero means now.
--- /dev/null
+++ b/process/entry/account.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"github.com/hyssopsill/hyssopsill/request/account"
+	"github.com/hyssopsill/hyssopsill/request/attempt"
+	"github.com/hyssopsill/hyssopsill/version/config"
+)
+
+// withoutAccountPrefix precedes a customer name that a caller without a key sent and that
+// is the name of an account. Otherwise the caller could use up the account's share or read
+// the stored responses to its orders. Names of accounts have no colon.
+const withoutAccountPrefix = "anonymous:"
+
+func accountTable(c *config.Config) *account.Table {
+	accounts := make([]account.Account, 0, len(c.Accounts))
+	for name, a := range c.Accounts {
+		accounts = append(accounts, account.Account{Name: name, Keys: a.Keys, Rank: a.Rank, Rate: a.Rate, Burst: a.Burst})
+	}
+	return account.NewTable(accounts)
+}
+
+// hasRanks reports whether two requests may differ in rank. Where they may not, gates
+// get no ranks and order their work without them.
+func hasRanks(c *config.Config) bool {
+	ranks := map[int]bool{}
+	for _, s := range c.Services {
+		for _, class := range s.Classes {
+			ranks[class.Rank] = true
+		}
+	}
+	for _, a := range c.Accounts {
+		if a.Rank != nil {
+			return true
+		}
+	}
+	return len(ranks) > 1
+}
+
+// admitAccount finds the account of the request and, from that, the customer. It refuses
+// the request and reports false when it needs an API key and has none.
+func (q *request) admitAccount(public bool) bool {
+	decision := q.routing.accounts.Admit(q.callerRequest.Header[q.entry.options.HTTPProfile.AccountKey], public)
+	q.account = decision.Account
+	q.setCustomer()
+	if !decision.Admitted {
+		q.refuse(attempt.NotRun, attempt.ReasonUnauthenticated, decision.Why, 0)
+	}
+	return decision.Admitted
+}
+
+// checkAccountQuota applies the rate limit of the account over the whole fleet. No limit
+// is in force yet, so it admits every request.
+func (q *request) checkAccountQuota() bool { return true }
--- a/process/entry/attempt.go
+++ b/process/entry/attempt.go
@@ -16,6 +16,7 @@
 	"github.com/hyssopsill/hyssopsill/connection/health"
 	"github.com/hyssopsill/hyssopsill/process/gate"
 	"github.com/hyssopsill/hyssopsill/process/roundtrip"
+	"github.com/hyssopsill/hyssopsill/request/account"
 	"github.com/hyssopsill/hyssopsill/request/attempt"
 	"github.com/hyssopsill/hyssopsill/request/record"
 	"github.com/hyssopsill/hyssopsill/request/retry"
@@ -231,7 +232,7 @@
 	q := a.request
 	remaining := q.deadline.Sub(q.entry.now())
 	remaining = max(time.Millisecond, remaining-min(gateDeadlineMargin, remaining/10))
-	fields := make([]roundtrip.Field, 0, 13)
+	fields := make([]roundtrip.Field, 0, 15)
 	fields = append(fields,
 		roundtrip.Field{Name: attempt.HeaderAttempt, Value: a.id},
 		roundtrip.Field{Name: attempt.HeaderFleet, Value: q.entry.options.Token},
@@ -244,6 +245,13 @@
 		roundtrip.Field{Name: attempt.HeaderRequestDigest, Value: strconv.FormatUint(uint64(q.poison.Digest), 16)},
 		roundtrip.Field{Name: attempt.HeaderSharedDigest, Value: strconv.FormatUint(uint64(q.poison.Shared), 16)},
 	)
+	if q.account != nil {
+		fields = append(fields, roundtrip.Field{Name: attempt.HeaderAccountName, Value: q.account.Name})
+	}
+	if q.routing.ranked {
+		rank := account.RequestRank(q.account, q.class.Rank)
+		fields = append(fields, roundtrip.Field{Name: attempt.HeaderRank, Value: strconv.Itoa(rank)})
+	}
 	if q.class.Idempotent {
 		fields = append(fields, roundtrip.Field{Name: attempt.HeaderIdempotent, Value: "1"})
 	}
--- a/process/entry/fleet.go
+++ b/process/entry/fleet.go
@@ -10,6 +10,7 @@
 	"github.com/hyssopsill/hyssopsill/connection/ratelimit"
 	"github.com/hyssopsill/hyssopsill/connection/selection"
 	"github.com/hyssopsill/hyssopsill/process/gate"
+	"github.com/hyssopsill/hyssopsill/request/account"
 	"github.com/hyssopsill/hyssopsill/request/class"
 	"github.com/hyssopsill/hyssopsill/request/order"
 	"github.com/hyssopsill/hyssopsill/version/config"
@@ -18,8 +19,10 @@
 
 // routing is a configuration with its route table. It is immutable.
 type routing struct {
-	config *config.Config
-	table  *class.RouteTable
+	config   *config.Config
+	table    *class.RouteTable
+	accounts *account.Table
+	ranked   bool // the ranks of requests may differ, so they are sent to the gates
 }
 
 // hasIdempotent reports whether a service has a class of idempotent work.
@@ -83,7 +86,7 @@
 	routes := make([]class.Route, len(c.Routes))
 	routeIDs := map[string]bool{}
 	for i, r := range c.Routes {
-		routes[i] = class.Route{ID: r.ID, Host: r.Host, PathPrefix: r.PathPrefix, Methods: r.Methods, Service: r.Service, Class: r.Class}
+		routes[i] = class.Route{ID: r.ID, Host: r.Host, PathPrefix: r.PathPrefix, Methods: r.Methods, Service: r.Service, Class: r.Class, Public: r.Public}
 		for _, s := range r.Split {
 			routes[i].Split = append(routes[i].Split, class.SplitShare{Service: s.Service, Weight: s.Weight})
 		}
@@ -96,7 +99,7 @@
 			CustomerBurst: s.CustomerBurst, CustomerConcurrency: s.CustomerConcurrency,
 		}
 	}
-	e.routing.Store(&routing{config: c, table: class.NewRouteTable(routes)})
+	e.routing.Store(&routing{config: c, table: class.NewRouteTable(routes), accounts: accountTable(c), ranked: hasRanks(c)})
 	e.mu.Lock()
 	e.limiter.SetServices(e.now(), limits)
 	maps.DeleteFunc(e.meanSizes, func(id string, _ float64) bool { return !routeIDs[id] })
--- a/process/entry/keys.go
+++ b/process/entry/keys.go
@@ -30,7 +30,9 @@
 		return
 	}
 	q.record.Service = service
-	q.setCustomer()
+	if !q.admitAccount(false) {
+		return
+	}
 	owner, ok := q.entry.chooseOwner(service)
 	if !ok {
 		q.refuse(attempt.NotRun, attempt.ReasonNoTarget, "no target of service "+service+" is in rotation", time.Second)
--- a/process/entry/request.go
+++ b/process/entry/request.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/hyssopsill/hyssopsill/process/roundtrip"
+	"github.com/hyssopsill/hyssopsill/request/account"
 	"github.com/hyssopsill/hyssopsill/request/attempt"
 	"github.com/hyssopsill/hyssopsill/request/class"
 	"github.com/hyssopsill/hyssopsill/request/order"
@@ -42,6 +43,7 @@
 	class          config.Class
 	long           bool
 	customer       string
+	account        *account.Account // nil: none
 	orderKey       order.Key
 	record         record.Request
 
@@ -124,11 +126,18 @@
 		q.refuse(attempt.NotRun, reason, err.Error(), 0)
 		return
 	}
+	if !q.admitAccount(q.match.Route.Public) {
+		return
+	}
+	if err := q.setDeadline(); err != nil {
+		q.refuse(attempt.NotRun, attempt.ReasonBadRequest, err.Error(), 0)
+		return
+	}
 	if wait, late := q.tooLateForDrain(); late {
 		q.refuse(attempt.NotRun, attempt.ReasonLeaving, "this node stops before the deadline of the request", wait)
 		return
 	}
-	if !q.checkLimits() {
+	if !q.checkAccountQuota() || !q.checkLimits() {
 		return
 	}
 	defer q.releaseLimits()
@@ -143,7 +152,7 @@
 	q.run()
 }
 
-// route finds the service, the class and the deadline of the request.
+// route finds the service and the class of the request.
 func (q *request) route() (attempt.Reason, error) {
 	path := q.callerRequest.URL.Path
 	if !cleanPath(path) {
@@ -162,8 +171,7 @@
 	}
 	q.class = q.routing.config.Services[q.service].Classes[match.Route.Class]
 	q.record.Route, q.record.Service, q.record.Class = match.Route.ID, q.service, match.Route.Class
-	q.setCustomer()
-	return attempt.ReasonBadRequest, q.setDeadline()
+	return attempt.ReasonNone, nil
 }
 
 // pickSplitService picks a random service by the weights of a split.
@@ -201,13 +209,21 @@
 	}
 }
 
-// setCustomer takes the customer from the configured header, or else from the
-// address of the caller.
+// setCustomer takes the customer from the account, or else from the configured header,
+// or else from the address of the caller.
 func (q *request) setCustomer() {
+	if q.account != nil {
+		q.customer = q.account.Name
+		q.record.Customer = q.entry.hash("customer", q.customer)
+		return
+	}
 	q.customer = q.callerRequest.Header.Get(q.routing.config.CustomerHeader)
 	if q.customer == "" {
 		q.customer, _, _ = net.SplitHostPort(q.callerRequest.RemoteAddr) // always host:port for TCP
 	}
+	if _, taken := q.routing.config.Accounts[q.customer]; taken {
+		q.customer = withoutAccountPrefix + q.customer
+	}
 	if len(q.customer) > maxCustomerBytes {
 		q.customer = q.customer[:maxCustomerBytes]
 	}
--- a/process/gate/exchange.go
+++ b/process/gate/exchange.go
@@ -29,6 +29,8 @@
 	targetID       string
 	class          string
 	customer       string
+	account        string // client account, empty for none
+	rank           int    // urgency of the request, -1 when not known
 	deadline       time.Time
 	long           bool
 	force          bool // the entry knows of no other target: ignore the breaker
@@ -207,7 +209,7 @@
 func (e *exchange) admit() bool {
 	e.gate.mu.Lock()
 	d := e.gate.admission.Submit(e.gate.now(), admission.Work{
-		Attempt: e.id, Target: e.targetID, Class: e.class, Customer: e.customer, Deadline: e.deadline, ArrivedAt: e.arrivedAtEntry, Long: e.long,
+		Attempt: e.id, Target: e.targetID, Class: e.class, Customer: e.customer, Rank: e.rank, Deadline: e.deadline, ArrivedAt: e.arrivedAtEntry, Long: e.long,
 		NoWait: e.noWait, AllowLate: e.allowLate, Called: e.gate.callers.Called(e.class),
 	})
 	e.gate.deliver(d.Displaced)
@@ -350,6 +352,9 @@
 	if profile.TargetInstance != "" {
 		req.Fields = append(req.Fields, roundtrip.Field{Name: profile.TargetInstance, Value: e.targetID})
 	}
+	if profile.AccountName != "" && e.account != "" {
+		req.Fields = append(req.Fields, roundtrip.Field{Name: profile.AccountName, Value: e.account})
+	}
 	if profile.CallerRequestIDs {
 		req.IsResponse = func(h http.Header) bool {
 			id := h.Get(profile.RequestID)
@@ -364,11 +369,12 @@
 }
 
 // skipFields returns a filter for header fields that are not forwarded to the target,
-// among them those that this gate sets itself.
+// among them those that this gate sets itself and the caller's API key.
 func (e *exchange) skipFields() func(string) bool {
 	skip, profile := roundtrip.ForwardFilter(e.r.Header), &e.gate.options.HTTPProfile
 	return func(name string) bool {
-		return skip(name) || name == profile.Timeout || name == profile.RequestID || (profile.TargetInstance != "" && name == profile.TargetInstance)
+		return skip(name) || name == profile.Timeout || name == profile.RequestID || (profile.TargetInstance != "" && name == profile.TargetInstance) ||
+			name == profile.AccountKey || name == profile.AccountName
 	}
 }
 
--- a/request/attempt/http_profile.go
+++ b/request/attempt/http_profile.go
@@ -66,7 +66,8 @@
 	if name == "" {
 		return false
 	}
-	return name == profile.RequestID || name == profile.Timeout || name == profile.CallerService || name == profile.TargetInstance
+	return name == profile.RequestID || name == profile.Timeout || name == profile.CallerService || name == profile.TargetInstance ||
+		name == profile.AccountKey || name == profile.AccountName
 }
 
 // Status returns the HTTP status of a problem document with this outcome and reason.
@@ -81,7 +82,7 @@
 	case o != NotRun:
 		return http.StatusBadGateway
 	case status == http.StatusNotFound || status == http.StatusBadRequest || status == http.StatusRequestEntityTooLarge ||
-		status == http.StatusTooManyRequests:
+		status == http.StatusTooManyRequests || status == http.StatusUnauthorized:
 		return status
 	default:
 		return http.StatusServiceUnavailable
@@ -103,6 +104,9 @@
 	if p.RetryAfterMS > 0 {
 		h["Retry-After"] = []string{profile.retryAfter(time.Duration(p.RetryAfterMS) * time.Millisecond)}
 	}
+	if p.Status == http.StatusUnauthorized { // RFC 9110, section 15.5.2: with a challenge
+		h["Www-Authenticate"] = []string{`ApiKey header="` + profile.AccountKey + `"`}
+	}
 	body, err := json.Marshal(p)
 	if err != nil { // a Problem has only fields that always marshal
 		body = []byte(`{"title":"internal error"}`)
--- a/request/attempt/outcome.go
+++ b/request/attempt/outcome.go
@@ -40,6 +40,7 @@
 	ReasonWithdrawn           Reason = "withdrawn"
 	ReasonNotReady            Reason = "not-ready"
 	ReasonUnauthorized        Reason = "unauthorized"
+	ReasonUnauthenticated     Reason = "unauthenticated" // no API key of an account
 	ReasonIncarnationMismatch Reason = "incarnation-mismatch"
 	ReasonNodeStopping        Reason = "node-stopping" // the entry's node stopped before the response arrived
 )
--- a/request/attempt/problem.go
+++ b/request/attempt/problem.go
@@ -54,6 +54,8 @@
 		return http.StatusGatewayTimeout
 	case ReasonTargetFailed, ReasonTargetCrashed, ReasonResponseCorrupt, ReasonPathFailed:
 		return http.StatusBadGateway
+	case ReasonUnauthenticated:
+		return http.StatusUnauthorized
 	case ReasonUnauthorized:
 		return http.StatusForbidden
 	default:
--- a/request/class/table.go
+++ b/request/class/table.go
@@ -14,6 +14,7 @@
 	Service    string
 	Split      []SplitShare // divides the requests between services, in place of Service
 	Class      string
+	Public     bool // needs no API key
 }
 
 // SplitShare is the part of the requests of a split route that one service gets.
