process/entry: report the demand for services with divided limits only

The demand of each entry for each service is a part of its report; it changes each second, so that each node uses up its budget for reports, although only limits of services need it.

TestNodesUnderFaults asserted demand for a service without limits; its service has a limit now, and the check is the same. TestDividesLimits covers which services need it.

--- a/connection/ratelimit/ratelimit.go
+++ b/connection/ratelimit/ratelimit.go
@@ -102,6 +102,13 @@
 	}
 }
 
+// DividesLimits reports whether a service has a limit of which this entry applies its
+// share of the demand.
+func (l *Limiter) DividesLimits(name string) bool {
+	s := l.services[name]
+	return s != nil && s.limits != Limits{CustomerBurst: s.limits.CustomerBurst}
+}
+
 // SetShares sets this entry's share of the demand of each service, from 0 to 1.
 // Services not in the map return to the default share.
 func (l *Limiter) SetShares(now time.Time, shares map[string]float64) {
--- a/process/entry/fleet.go
+++ b/process/entry/fleet.go
@@ -221,11 +221,15 @@
 	}
 }
 
-// Demand returns the recent requests per second of each service at this entry.
+// Demand returns the recent requests per second at this entry of each service with limits
+// that the entries divide by demand. The demand of other services is not needed elsewhere:
+// it changes each second, and would take up the budget of reports that gossip carries.
 func (e *Entry) Demand() map[string]float64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return maps.Clone(e.demand.rates)
+	rates := maps.Clone(e.demand.rates)
+	maps.DeleteFunc(rates, func(service string, _ float64) bool { return !e.limiter.DividesLimits(service) })
+	return rates
 }
 
 // SetShares sets this entry's share of each service's demand.
