--- a/cmd/hyssopsill/command_test.go
+++ b/cmd/hyssopsill/command_test.go
@@ -286,3 +286,39 @@
 		})
 	}
 }
+
+// Guards against keys of accounts that publish loses, against a rotation that commands do
+// not show, and against API keys in their output.
+func TestAccountCommands(t *testing.T) {
+	f := newFleet(t)
+	base, err := os.ReadFile(sunbake)
+	if err != nil {
+		t.Fatal(err)
+	}
+	write := func(name, accounts string) string {
+		file := filepath.Join(t.TempDir(), name)
+		if err := os.WriteFile(file, append(slices.Clone(base), "\n"+accounts...), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return file
+	}
+	one := write("one.toml", "[accounts.a]\nkeys = [\"secret-1\"]\nrate = 10.0\nburst = 5\n")
+	both := write("both.toml", "[accounts.a]\nkeys = [\"secret-1\", \"secret-2\"]\n")
+	latest := write("latest.toml", "[accounts.a]\nkeys = [\"secret-2\"]\n[accounts.b]\n")
+	shared := write("shared.toml", "[accounts.a]\nkeys = [\"secret-2\"]\n[accounts.b]\nkeys = [\"secret-2\"]\n")
+	diff := "hyssopsill config diff --log " + docsLogURL + " "
+	output := f.expect(t, "hyssopsill config validate "+one, exitOK, "7 routes, 1 accounts")
+	output += f.expect(t, publishCommand+one, exitOK, "version 1 is accepted")
+	output += f.expect(t, diff+both, exitOK, "accounts/a", "- keys = ['sha256:", "+ keys = ['sha256:", "- rate = 10")
+	output += f.expect(t, diff+"--output json "+both, exitOK, "accounts/a")
+	output += f.expect(t, publishCommand+both, exitOK, "version 2 is accepted")
+	output += f.expect(t, publishCommand+latest, exitOK, "version 3 is accepted")
+	output += f.expect(t, diff+latest, exitOK, "nothing differs")
+	output += f.expect(t, publishCommand+shared, exitBadInput, `account "b" has the same key as account "a"`)
+	output += f.expect(t, "hyssopsill config history --log "+docsLogURL, exitOK, "accounts/a")
+	output += f.expect(t, publishCommand+sunbake, exitOK, "version 4 is accepted")
+	output += f.expect(t, diff+latest, exitOK, "accounts/a", "accounts/b")
+	if strings.Contains(output, "secret") {
+		t.Errorf("the output contains a key:\n%s", output)
+	}
+}
--- a/cmd/hyssopsill/config.go
+++ b/cmd/hyssopsill/config.go
@@ -91,7 +91,11 @@
 		return err
 	}
 	return a.print(c, map[string]any{"findings": []string{}}, func(w io.Writer) {
-		fmt.Fprintf(w, "valid: %d services, %d routes\n", len(parsed.Services), len(parsed.Routes))
+		text := fmt.Sprintf("valid: %d services, %d routes", len(parsed.Services), len(parsed.Routes))
+		if len(parsed.Accounts) > 0 {
+			text += fmt.Sprintf(", %d accounts", len(parsed.Accounts))
+		}
+		fmt.Fprintln(w, text)
 	})
 }
 
@@ -108,6 +112,9 @@
 	if err != nil {
 		return err
 	}
+	for i := range differences {
+		differences[i] = differences[i].WithoutKeys()
+	}
 	out := struct {
 		Version     int64               `json:"version"`
 		Differences []config.Difference `json:"differences"`
--- a/cmd/hyssopsill/publish.go
+++ b/cmd/hyssopsill/publish.go
@@ -35,7 +35,9 @@
 	out := publishResult{ChangeID: id, Version: accepted.Result.Offset, Accepted: err == nil}
 	var rejected *config.RejectedError
 	if errors.As(err, &rejected) {
-		out.Differences = rejected.Differences
+		for _, d := range rejected.Differences {
+			out.Differences = append(out.Differences, d.WithoutKeys())
+		}
 	}
 	if err != nil {
 		out.Error = err.Error()
@@ -53,7 +55,7 @@
 				fmt.Fprintf(w, "version %d by %s came into force in the meantime (%s); review the combined configuration\n", e.Offset, e.Author, objectNames(e))
 			}
 		case rejected != nil:
-			writeDifferences(w, rejected.Differences)
+			writeDifferences(w, out.Differences)
 		default:
 			fmt.Fprintf(w, "to check the outcome later, repeat the command with --change-id %s\n", id)
 		}
--- a/version/config/account_test.go
+++ b/version/config/account_test.go
@@ -153,3 +153,28 @@
 		t.Errorf("keys of deleted accounts are kept: %v", maps.Clone(s.accountByKey))
 	}
 }
+
+// Guards against API keys in the differences that commands print, and against a rotation
+// that they do not show.
+func TestDifferenceWithoutKeys(t *testing.T) {
+	d := Difference{Object: "accounts/a", From: "keys = [\"secret-1\"]\nrank = 0\n", To: "keys = [\"secret-1\", \"secret-2\"]\n"}.WithoutKeys()
+	if strings.Contains(d.From+d.To, "secret") || !strings.Contains(d.From, "rank = 0") || strings.Count(d.From, "sha256:") != 1 || strings.Count(d.To, "sha256:") != 2 {
+		t.Errorf("got %+v", d)
+	}
+	broken := Difference{Object: "accounts/a", From: emptyObject, To: "keys = [secret]"}.WithoutKeys()
+	if strings.Contains(broken.To, "secret") || broken.From != emptyObject {
+		t.Errorf("got %+v", broken)
+	}
+}
+
+// Guards against API keys in the messages on a file that cannot be decoded.
+func TestSyntaxErrorsHoldNoKey(t *testing.T) {
+	for _, text := range []string{"keys = [secret1]", "keys = [\"secret1]", "keys = 'secret1", "keys = \"secret1\"x", "keys = [\"\\secret1\"]", "keys = [\"secret1\"\n",
+		"keys = [\"secret1\" \"secret1\"]", "keys = {k = \"secret1\"}", "keys = [[\"secret1\"]]", "keys = [\"a\"]\nkeys = [\"secret1\"]", "rank = \"secret1\"",
+		"rate = \"secret1\"", "keys = [true, \"secret1\"]"} {
+		_, findings := Parse("test.toml", []byte("[accounts.a]\n"+text+"\n"))
+		if len(findings) == 0 || strings.Contains(findings.Error(), "secret") {
+			t.Errorf("%s: got %v", text, findings)
+		}
+	}
+}
--- a/version/config/encode.go
+++ b/version/config/encode.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"slices"
 	"strings"
@@ -108,3 +110,34 @@
 	}
 	return c.Objects()
 }
+
+// WithoutKeys returns the difference for display, with digests in place of the API keys of
+// an account. Equal keys have equal digests, so that a rotation remains visible.
+func (d Difference) WithoutKeys() Difference {
+	if strings.HasPrefix(d.Object, prefixAccounts) {
+		d.From, d.To = withoutKeys(d.From), withoutKeys(d.To)
+	}
+	return d
+}
+
+func withoutKeys(value string) string {
+	if value == "" {
+		return ""
+	}
+	var a Account
+	if err := toml.Unmarshal([]byte(value), &a); err != nil {
+		return "# not readable\n" // the error may quote a key
+	}
+	for i, key := range a.Keys {
+		sum := sha256.Sum256([]byte(key))
+		a.Keys[i] = "sha256:" + hex.EncodeToString(sum[:4])
+	}
+	text, err := toml.Marshal(a)
+	if err != nil {
+		return "# not readable\n"
+	}
+	if len(text) == 0 {
+		return emptyObject
+	}
+	return string(text)
+}
