connection/loadview: what an entry knows of the loads of a service's targets

An entry knows the load of a target only from its own responses. With 97 entries and 24 targets this is tens of seconds old. Headers with an invalid record, impossible loads and loads of targets that are not of the service are ignored and counted.

--- /dev/null
+++ b/connection/loadview/view.go
@@ -0,0 +1,214 @@
+package loadview
+
+import (
+	"math"
+	"time"
+
+	"github.com/hyssopsill/hyssopsill/request/attempt"
+)
+
+// Known is what is known of the load of one target.
+type Known struct {
+	Load, Long float64   // requests per slot, of all entries
+	At         time.Time // when the gate had this load; zero: nothing is known
+	Domain     string    // failure domain of the target
+	domain     int       // index in View.means
+	id         ID
+	ambiguous  bool // another target of the service has the same ID
+}
+
+// Counts counts the loads in headers.
+type Counts struct {
+	Fresher    int64 // taken over
+	NotFresher int64
+	Bad        int64 // headers that could not be parsed, and impossible loads
+	Unknown    int64 // of targets that are not known to be of the service
+}
+
+// Add adds other to c.
+func (c *Counts) Add(other Counts) {
+	c.Fresher += other.Fresher
+	c.NotFresher += other.NotFresher
+	c.Bad += other.Bad
+	c.Unknown += other.Unknown
+}
+
+// View holds what is known of the loads of one service's targets. It is not safe for
+// concurrent use.
+type View struct {
+	used   []*Known      // targets that this entry uses
+	byID   map[ID]*Known // nil: a target of the service that this entry does not use
+	means  [][2]float64  // of Load and Long, by failure domain and, last, of all
+	meanAt time.Time
+}
+
+const (
+	// meanInterval is the time between computations of the means. It is far below
+	// the time in which loads change, and saves a pass over the targets per request.
+	meanInterval = 100 * time.Millisecond
+	// forgetAfter is the age at which loads no longer count: the entry has not heard of
+	// the target for longer than most requests run.
+	forgetAfter = 30 * time.Second
+)
+
+// NewView returns a view of the targets of a service. known holds what is known of those
+// that the entry uses, by key; all lists the keys of all targets.
+func NewView(known map[string]*Known, all []string) *View {
+	v := &View{byID: make(map[ID]*Known, len(all))}
+	seen := make(map[ID]string, len(all))
+	domains := map[string]int{}
+	for _, target := range all {
+		id := IDOf(target)
+		k := known[target]
+		if k != nil {
+			k.id, k.ambiguous = id, false
+			v.used = append(v.used, k)
+			if _, numbered := domains[k.Domain]; !numbered {
+				domains[k.Domain] = len(domains)
+			}
+			k.domain = domains[k.Domain]
+		}
+		if other, duplicate := seen[id]; duplicate && other != target {
+			for _, same := range []*Known{k, v.byID[id]} {
+				if same != nil {
+					same.ambiguous = true
+				}
+			}
+			v.byID[id] = nil
+			continue
+		}
+		seen[id] = target
+		v.byID[id] = k
+	}
+	v.means = make([][2]float64, len(domains)+1)
+	return v
+}
+
+// Observe records the load that a gate reports of its own target.
+func (k *Known) Observe(now time.Time, l attempt.Load) bool {
+	if l.Limit < 1 || l.Running < 0 || l.Queued < 0 || l.RunningLong < 0 || l.QueuedLong < 0 || l.RunningLong > l.Running || l.QueuedLong > l.Queued {
+		return false
+	}
+	slots := float64(l.Limit)
+	k.Load = math.Min(float64(l.Running+l.Queued-l.QueuedLong)/slots, maxLoad)
+	k.Long = math.Min(float64(l.RunningLong+l.QueuedLong)/slots, maxLoad)
+	k.At = now
+	return true
+}
+
+// Merge takes over the loads of a header that are fresher than the known ones.
+func (v *View) Merge(now time.Time, header string) Counts {
+	var list [MaxShared]Shared
+	n, err := decode(header, &list)
+	if err != nil {
+		return Counts{Bad: 1}
+	}
+	return v.mergeShared(now, list[:n])
+}
+
+func (v *View) mergeShared(now time.Time, list []Shared) (counts Counts) {
+	for _, s := range list {
+		k, ofService := v.byID[s.Target]
+		switch at := now.Add(-s.Age); {
+		case !s.valid():
+			counts.Bad++
+		case !ofService:
+			counts.Unknown++
+		case k == nil || k.ambiguous || !at.After(k.At):
+			counts.NotFresher++
+		default:
+			k.Load, k.Long, k.At = s.Load, s.Long, at
+			counts.Fresher++
+		}
+	}
+	return counts
+}
+
+// Freshest returns the header with the freshest known loads, without that of the target
+// except, or "" when none is fresh enough.
+func (v *View) Freshest(now time.Time, except string) string {
+	var best [MaxShared]*Known
+	n, exceptID := 0, IDOf(except)
+	for _, k := range v.used {
+		if age := now.Sub(k.At); k.At.IsZero() || age > MaxSharedAge || age < 0 || k.ambiguous || k.id == exceptID {
+			continue
+		}
+		at := n
+		for at > 0 && k.At.After(best[at-1].At) {
+			at--
+		}
+		if at == MaxShared {
+			continue
+		}
+		n = min(n+1, MaxShared)
+		copy(best[at+1:n], best[at:])
+		best[at] = k
+	}
+	if n == 0 {
+		return ""
+	}
+	var list [MaxShared]Shared
+	for i, k := range best[:n] {
+		list[i] = Shared{Target: k.id, Load: k.Load, Long: k.Long, Age: now.Sub(k.At)}
+	}
+	return encode(list[:n])
+}
+
+// Estimate is a probability distribution of a load per slot.
+type Estimate struct{ Mean, Deviation float64 }
+
+// Estimate returns what the load per slot of a target is now. The known load loses half of
+// its weight per halfLife to the mean of its failure
+// domain, whose demand may be far from that of the others; the variance grows towards that of a
+// Poisson load. It reports false when nothing is known of any target.
+func (v *View) Estimate(now time.Time, k *Known, long bool, slots float64, halfLife time.Duration) (Estimate, bool) {
+	if v.meanAt.IsZero() || now.Sub(v.meanAt) >= meanInterval || now.Before(v.meanAt) {
+		v.computeMeans(now, halfLife)
+	}
+	load, kind := k.Load, 0
+	if long {
+		load, kind = k.Long, 1
+	}
+	mean := v.means[k.domain][kind]
+	if math.IsNaN(mean) {
+		mean = v.means[len(v.means)-1][kind]
+	}
+	weight := weightOf(now, k, halfLife)
+	switch {
+	case !math.IsNaN(mean):
+	case weight == 0:
+		return Estimate{}, false
+	default: // the load is newer than the means
+		mean = load
+	}
+	return Estimate{Mean: load*weight + mean*(1-weight), Deviation: math.Sqrt(mean / slots * (1 - weight*weight))}, true
+}
+
+// weightOf returns the weight of a known load, 1 when it is new and 0 when nothing is known.
+func weightOf(now time.Time, k *Known, halfLife time.Duration) float64 {
+	age := now.Sub(k.At)
+	if k.At.IsZero() || age > forgetAfter {
+		return 0
+	}
+	return math.Exp2(-float64(max(age, 0)) / float64(halfLife))
+}
+
+// computeMeans computes the means of the known loads, weighted like in Estimate. They are
+// NaN when nothing is known.
+func (v *View) computeMeans(now time.Time, halfLife time.Duration) {
+	totals := make([]float64, len(v.means))
+	clear(v.means)
+	for _, k := range v.used {
+		weight := weightOf(now, k, halfLife)
+		for _, i := range [2]int{k.domain, len(v.means) - 1} {
+			totals[i] += weight
+			v.means[i][0] += weight * k.Load
+			v.means[i][1] += weight * k.Long
+		}
+	}
+	for i, total := range totals {
+		v.means[i][0] /= total // 0/0 is NaN
+		v.means[i][1] /= total
+	}
+	v.meanAt = now
+}
