process: pass on loads of targets in responses, setting share_loads

With [defaults] share_loads a gate adds Hyssopsill-Loads to its responses, with what the entry of its node knows, and entries merge it. The expvar shared_loads counts what entries took over or ignored.

--- a/process/entry/attempt.go
+++ b/process/entry/attempt.go
@@ -318,6 +318,9 @@
 		a.load = load
 		now := a.request.entry.now()
 		a.request.entry.selector.ObserveLoad(now, a.target.key, load)
+		if loads := h.Get(attempt.HeaderLoads); loads != "" {
+			a.request.entry.selector.MergeLoads(now, a.target.info.Service, loads)
+		}
 		a.request.entry.observeRate(now, a.target, h.Get(attempt.HeaderTargetRate))
 		if h.Get(attempt.HeaderHint) == "0" {
 			a.request.entry.health.Observe(now, health.Evidence{Kind: health.Hint, Target: a.target.key, Node: a.target.member.Node})
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -43,6 +43,9 @@
 	// RetryShare is the share of first attempts that may be retried. 0: the
 	// default of retry.Options.
 	RetryShare float64
+	// ShareLoads makes this entry use the loads that gates pass on, and pass on what
+	// it knows through LoadsFor.
+	ShareLoads bool
 	// GateControlsRetries means that gates enforce the retry budget and handle the
 	// errors of their targets, so this entry does neither.
 	GateControlsRetries bool
@@ -147,7 +150,7 @@
 			DialTimeout: gateDialTimeout, IdleTimeout: gateIdleTimeout, MaxIdle: maxIdleGateConnections, HeaderBytes: o.HeaderBytes,
 		}),
 		health:         health.New(health.Options{}, o.Reporter),
-		selector:       selection.New(selection.Options{Entry: o.Node, Domain: o.Domain, Region: o.Region}, o.Rand),
+		selector:       selection.New(selection.Options{Entry: o.Node, Domain: o.Domain, Region: o.Region, ShareLoads: o.ShareLoads}, o.Rand),
 		limiter:        ratelimit.New(ratelimit.Options{}),
 		learner:        class.NewLearner(class.LearnerOptions{}),
 		keyIssuer:      order.NewKeyIssuer(order.KeyIssuerOptions{FleetToken: o.Token}, o.Rand),
--- /dev/null
+++ b/process/entry/loads_test.go
@@ -0,0 +1,61 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/hyssopsill/hyssopsill/connection/loadview"
+	"github.com/hyssopsill/hyssopsill/request/attempt"
+	"github.com/hyssopsill/hyssopsill/request/invariant"
+	"github.com/hyssopsill/hyssopsill/version/membership"
+)
+
+// Guards against loads that an entry does not pass on or take over, and against an entry that
+// does either while loads are not shared.
+func TestLoadsArePassedOn(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	view := membership.View{}
+	for _, node := range []string{"n1", "n2", "n3"} {
+		view.Members = append(view.Members, membership.Member{Node: node, Domain: "d1", State: membership.NodeAlive,
+			Targets: []membership.Target{{ID: "t1", Service: "shop", Slots: 4}}})
+	}
+	newEntry := func(node string, share bool) *Entry {
+		e := New(Options{Node: node, Domain: "d1", Now: func() time.Time { return now }, Rand: rand.New(rand.NewPCG(1, 1)), Log: zerolog.Nop(),
+			Reporter: invariant.PanicReporter{}, ShareLoads: share})
+		t.Cleanup(e.Close)
+		e.SetView(view)
+		return e
+	}
+	observe := func(e *Entry, node, load, loads string) {
+		a := &activeAttempt{request: &request{entry: e}, target: e.fleet.Load().targets["t1@"+node]}
+		h := http.Header{attempt.HeaderLoad: {load}}
+		if loads != "" {
+			h[attempt.HeaderLoads] = []string{loads}
+		}
+		a.observeLoad(h)
+	}
+	gateLoad := attempt.Load{Slots: 4, Limit: 4, Running: 2}
+	if off := newEntry("n1", false); off.LoadsFor("shop", "t1", gateLoad) != "" {
+		t.Error("loads are passed on although they are not shared")
+	}
+	first, second := newEntry("n1", true), newEntry("n2", true)
+	if header := first.LoadsFor("shop", "t1", gateLoad); header != "" {
+		t.Errorf("header %q without other loads", header)
+	}
+	observe(first, "n3", "4 4 3 0 0 0", "")
+	header := first.LoadsFor("shop", "t1", gateLoad)
+	observe(second, "n1", gateLoad.String(), header)
+	observe(second, "n1", gateLoad.String(), "not a load")
+	if counts := second.LoadCounts(); counts != (loadview.Counts{Fresher: 1, Bad: 1}) {
+		t.Errorf("header %q: %+v", header, counts)
+	}
+	off := newEntry("n2", false)
+	observe(off, "n1", gateLoad.String(), header)
+	if counts := off.LoadCounts(); counts != (loadview.Counts{}) {
+		t.Errorf("not shared: %+v", counts)
+	}
+}
--- a/process/gate/exchange.go
+++ b/process/gate/exchange.go
@@ -456,10 +456,14 @@
 	room, called := e.budgetRoom()
 	serviceTime := e.serviceTime(e.gate.now())
 	t := e.gate.targets[e.targetID]
-	unhealthy := t != nil && t.unhealthy
+	unhealthy, service := t != nil && t.unhealthy, ""
+	if t != nil {
+		service = t.Service
+	}
 	e.gate.mu.Unlock()
 	if load.Slots > 0 {
 		h[attempt.HeaderLoad] = []string{load.String()}
+		e.setLoads(h, service, load)
 	}
 	if limited {
 		h[attempt.HeaderTargetRate] = []string{formatRate(rate)}
@@ -474,3 +478,14 @@
 		h[attempt.HeaderServiceTime] = []string{strconv.FormatInt(serviceTime.Microseconds(), 10)}
 	}
 }
+
+// setLoads adds the loads of other targets of the service. The entry of this node knows
+// them already.
+func (e *exchange) setLoads(h http.Header, service string, load attempt.Load) {
+	if e.gate.options.LoadsFor == nil || service == "" {
+		return
+	}
+	if loads := e.gate.options.LoadsFor(service, e.targetID, load); loads != "" && e.id.Entry != e.gate.options.Node {
+		h[attempt.HeaderLoads] = []string{loads}
+	}
+}
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -145,15 +145,21 @@
 
 func (n *Node) buildRoles() {
 	s := n.options.Settings
+	var loadsFor func(service, target string, load attempt.Load) string
+	if s.Defaults.ShareLoads {
+		loadsFor = func(service, target string, load attempt.Load) string { return n.entry.LoadsFor(service, target, load) }
+	}
 	n.gate = gate.New(gate.Options{
 		Node: s.Node, Token: s.FleetToken, HeaderBytes: int64(s.Limits.HeaderBytes), HTTPProfile: n.options.HTTPProfile, QueuePerSlot: s.Defaults.QueuePerSlot,
 		RetryShare: s.Defaults.RetryShare, AdditionalRetries: s.Defaults.AdditionalRetries, RetryWindow: s.Defaults.RetryWindow,
 		Now: n.now, Rand: newRand(), Log: n.log, Reporter: n.metrics.Invariants, Record: n.record,
 		OnPoisonChanges: func(cs []poison.Change) { n.entry.RetractCrashes(cs) },
+		LoadsFor:        loadsFor,
 	})
 	n.entry = entry.New(entry.Options{
 		Node: s.Node, Region: s.Region, Domain: s.Domain, Token: s.FleetToken, LogRetention: s.LogRetention,
 		HTTPProfile: n.options.HTTPProfile, HostService: n.options.HostService, RetryShare: s.Defaults.RetryShare, GateControlsRetries: s.Defaults.AdditionalRetries > 0,
+		ShareLoads:  s.Defaults.ShareLoads,
 		HeaderBytes: int64(s.Limits.HeaderBytes), BodyBytes: s.Limits.BodyBytes,
 		Now: n.now, Rand: newRand(), Log: n.log, Reporter: n.metrics.Invariants, LogService: n.options.LogService,
 		Record: n.record, OnRequestEnd: n.metrics.ObserveRequest, Quarantined: n.gate.Quarantined,
@@ -162,6 +168,9 @@
 	})
 	n.metrics.Set("gate_running", expvar.Func(func() any { return n.gate.Running() }))
 	n.metrics.Set("gate_orders", expvar.Func(func() any { return n.gate.Usage() }))
+	if s.Defaults.ShareLoads {
+		n.metrics.Set("shared_loads", expvar.Func(func() any { return n.entry.LoadCounts() }))
+	}
 	n.metrics.Set("entry_active", expvar.Func(func() any { return n.entry.Active() }))
 }
 
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -87,6 +87,9 @@
 	AdditionalRetries float64 `toml:"retry_slack"`
 	// RetryWindow is the time window of the retry budget. Default 10s.
 	RetryWindow time.Duration `toml:"retry_window"`
+	// ShareLoads turns on the exchange of known loads of targets between nodes, in the
+	// responses of gates. Default false.
+	ShareLoads bool `toml:"share_loads"`
 }
 
 // Listen holds the addresses of the listeners, host:port. Port 0 picks a free
--- a/process/settings/template.go
+++ b/process/settings/template.go
@@ -79,4 +79,6 @@
 retry_slack = 0.0
 # Time window of the retry budget.
 retry_window = "10s"
+# Pass on known loads of targets between nodes, in the responses of gates.
+share_loads = false
 `
