connection/admission: waiting work is ordered by rank

In a burst of less urgent work of the same priority, urgent work was refused with the rest, as only the priority of the class ordered the queue. Work now has a rank, from the header Hyssopsill-Rank, that goes before the priority: in the order of the queue, in the choice of the work that a full queue displaces, and in the expected wait. Without the header the rank of the class applies. Entries send the header where the ranks of the configuration differ, so that other deployments are served as before.

--- a/connection/admission/controller.go
+++ b/connection/admission/controller.go
@@ -175,7 +175,7 @@
 func (c *Controller) enqueue(now time.Time, t *target, sub *submission) Decision {
 	sub.customer = t.customerOf(sub.work.Customer)
 	sub.brief = !c.options.noBriefFirst && t.isBrief(sub)
-	wait := t.expectedWait(now, sub)
+	wait := t.expectedWait(now, sub, c.options)
 	margin := sub.class.deadlineMargin(sub.work.Deadline.Sub(now) - sub.class.expectedServiceTime(now))
 	tooLate := (sub.wouldMissObjective(now, wait) || sub.waitsLonger(maxExpectedShare, wait)) && !c.mayQueueLate(now, t, sub, wait)
 	if c.infeasible(now, t, sub, wait+margin) != attempt.ReasonNone || tooLate {
@@ -192,9 +192,9 @@
 		victim := t.victim(sub, c.options)
 		if victim == nil {
 			delete(c.submissions, sub.ticket)
-			return refusal(sub, attempt.ReasonOverload, t.expectedWait(now, sub))
+			return refusal(sub, attempt.ReasonOverload, t.expectedWait(now, sub, c.options))
 		}
-		displaced = append(displaced, c.refuse(t, victim, attempt.ReasonOverload, t.expectedWait(now, victim)))
+		displaced = append(displaced, c.refuse(t, victim, attempt.ReasonOverload, t.expectedWait(now, victim, c.options)))
 	}
 	t.addWaiting(sub)
 	return Decision{Kind: Queued, Ticket: sub.ticket, Work: sub.work, Displaced: displaced}
@@ -347,7 +347,7 @@
 				reason = attempt.ReasonOverload
 			}
 			if reason != attempt.ReasonNone {
-				out = append(out, c.refuse(t, sub, reason, t.expectedWait(now, sub)))
+				out = append(out, c.refuse(t, sub, reason, t.expectedWait(now, sub, c.options)))
 			}
 		}
 		sub := c.nextToStart(now, t)
--- /dev/null
+++ b/connection/admission/rank_test.go
@@ -0,0 +1,72 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hyssopsill/hyssopsill/request/invariant"
+)
+
+// within returns the share of the offered work of a class that ended within its objective.
+func (s *sim) within(class string, objective time.Duration) float64 {
+	good, offered := 0, 0
+	for _, d := range s.latency[class] {
+		if d <= objective {
+			good++
+		}
+	}
+	for _, n := range s.offered[class] {
+		offered += n
+	}
+	return float64(good) / float64(max(1, offered))
+}
+
+// Guards against urgent work that is refused during a burst of less urgent work: 5
+// targets of 11 slots and 120 ms, of which urgent work needs 0.4, while the other class
+// grows from 0.5 to 1.7 or 4 times the capacity for 6 of 10 s.
+func TestUrgentWorkIsServedInBurst(t *testing.T) {
+	const capacity = 5 * 11 / 0.12
+	classes := map[string]Class{"urgent": {Objective: 600 * time.Millisecond}, "other": {Objective: 1200 * time.Millisecond}}
+	for _, burst := range []float64{1.7, 4} {
+		run := func(o Options) (urgent, all float64) {
+			s := newSim(o, 7, 5, 11, 0, classes)
+			s.run(30*time.Second, stream{class: "urgent", rank: 17, rate: func(time.Duration) float64 { return 0.4 * capacity },
+				meanService: 120 * time.Millisecond, shape: 4, deadline: 4 * time.Second},
+				stream{class: "other", rank: 34, meanService: 120 * time.Millisecond, shape: 4, deadline: 6 * time.Second,
+					rate: func(at time.Duration) float64 {
+						if at%(10*time.Second) > 4*time.Second {
+							return burst * capacity
+						}
+						return 0.5 * capacity
+					}})
+			urgent = s.within("urgent", 600*time.Millisecond)
+			return urgent, 30*0.4*capacity*urgent + s.within("other", 1200*time.Millisecond)*30*capacity*(0.4*0.5+0.6*burst)
+		}
+		urgent, all := run(Options{})
+		before, allBefore := run(Options{noRank: true})
+		t.Logf("burst %.1f: %.3f of the urgent work in time, without ranks %.3f; of all %.0f and %.0f", burst, urgent, before, all, allBefore)
+		if urgent < 0.9 || before > urgent || all < 0.95*allBefore {
+			t.Errorf("burst %.1f: %.3f of the urgent work in time, want 0.9, without ranks %.3f; of all %.0f and %.0f", burst, urgent, before, all, allBefore)
+		}
+	}
+}
+
+// Guards against a rank that is absent being taken for the most urgent, and against an
+// order that differs from that without ranks where all are equal.
+func TestAbsentRankIsThatOfTheClass(t *testing.T) {
+	c := New(Options{}, invariant.PanicReporter{})
+	c.SetTarget(epoch, Target{ID: "t", Slots: 1, Classes: map[string]Class{"order": {Priority: Order, Rank: 34}, "browse": {Priority: Interactive, Rank: 17}}})
+	submit := func(class string, rank int) Ticket {
+		return c.Submit(epoch, Work{Target: "t", Class: class, Rank: rank, Deadline: epoch.Add(time.Minute)}).Ticket
+	}
+	running := submit("order", 0)
+	want := []Ticket{0, 0, 0, 0}
+	want[3], want[1], want[0], want[2] = submit("order", -1), submit("browse", -1), submit("order", 16), submit("browse", 33)
+	for i, ticket := range want {
+		started := c.Finish(epoch, running, Result{})
+		if len(started) != 1 || started[0].Ticket != ticket {
+			t.Fatalf("start %d: got %+v, want ticket %d of %v", i, started, ticket, want)
+		}
+		running = ticket
+	}
+}
--- a/connection/admission/target.go
+++ b/connection/admission/target.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -117,6 +118,9 @@
 
 func (t *target) classify(sub *submission) {
 	sub.class = t.classOf(sub.work)
+	if sub.rank = sub.work.Rank; sub.rank < 0 {
+		sub.rank = sub.class.Rank
+	}
 	sub.priority = sub.class.Priority
 	if sub.work.Called {
 		sub.priority = Called
@@ -264,12 +268,23 @@
 	return mean.known && !sub.long && (!own.known || own.value < briefShare*mean.value)
 }
 
-// goesBefore reports whether waiting work a starts before b: by priority, brief work
-// first, by whether it can still meet its objective, by the customer that was served less,
-// by deadline and by arrival.
+// compareUrgency orders work by rank and then by priority; the more urgent is less.
+func compareUrgency(a, b *submission, o Options) int {
+	if a.rank != b.rank && !o.noRank {
+		return cmp.Compare(a.rank, b.rank)
+	}
+	if o.noPriority {
+		return 0
+	}
+	return cmp.Compare(a.priority, b.priority)
+}
+
+// goesBefore reports whether waiting work a starts before b: by rank, by priority, brief
+// work first, by whether it can still meet its objective, by the customer that was served
+// less, by deadline and by arrival.
 func goesBefore(a, b *submission, o Options) bool {
-	if a.priority != b.priority && !o.noPriority {
-		return a.priority < b.priority
+	if order := compareUrgency(a, b, o); order != 0 {
+		return order < 0
 	}
 	if a.brief != b.brief && !o.noBriefFirst {
 		return a.brief
@@ -311,15 +326,16 @@
 }
 
 // victim returns the waiting work that sub displaces from a full queue, or nil.
-// It must have a lower priority, or the same priority and a customer with at
-// least two more waiting requests than that of sub. Of these it is the work of
-// the lowest priority, then of the customer with the most waiting work, then
-// the one that would start last.
+// It must be less urgent by rank or priority, or as urgent and of a customer with
+// at least two more waiting requests than that of sub. Of these it is the least
+// urgent work, then that of the customer with the most waiting work, then the one
+// that would start last.
 func (t *target) victim(sub *submission, o Options) *submission {
 	var worst *submission
 	for _, candidate := range t.queue {
-		lower := candidate.priority > sub.priority && !o.noPriority
-		crowding := candidate.priority == sub.priority && candidate.customer.queued > sub.customer.queued+1 && !o.noFairness
+		order := compareUrgency(candidate, sub, o)
+		lower := order > 0
+		crowding := order == 0 && candidate.customer.queued > sub.customer.queued+1 && !o.noFairness
 		if (lower || crowding) && (worst == nil || givesWayBefore(candidate, worst, o)) {
 			worst = candidate
 		}
@@ -329,8 +345,8 @@
 
 // givesWayBefore reports whether a is displaced rather than b.
 func givesWayBefore(a, b *submission, o Options) bool {
-	if a.priority != b.priority {
-		return a.priority > b.priority
+	if order := compareUrgency(a, b, o); order != 0 {
+		return order > 0
 	}
 	if a.customer.queued != b.customer.queued {
 		return a.customer.queued > b.customer.queued
@@ -340,21 +356,22 @@
 
 // expectedWait estimates the time until waiting work starts: the work ahead of
 // it, divided by the rate at which slots for it become free or, if that is longer, at
-// which the target takes requests. Of each other customer of equal priority it counts
+// which the target takes requests. Of each other customer of equal urgency it counts
 // only about as much work as its own customer has waiting.
-func (t *target) expectedWait(now time.Time, sub *submission) time.Duration {
+func (t *target) expectedWait(now time.Time, sub *submission, o Options) time.Duration {
 	ahead, otherKind := 0, 0 // otherKind: long work before short work, or the reverse
 	for _, other := range t.queue {
 		other.customer.countedAhead = 0
 	}
 	for _, other := range t.queue {
-		if other != sub && other.long != sub.long && other.priority <= sub.priority {
+		order := compareUrgency(other, sub, o)
+		if other != sub && other.long != sub.long && order <= 0 {
 			otherKind++
 		}
-		if other == sub || other.long != sub.long || other.priority > sub.priority || (other.priority == sub.priority && other.brief != sub.brief) {
+		if other == sub || other.long != sub.long || order > 0 || (order == 0 && other.brief != sub.brief) {
 			continue // starts later, or takes no time
 		}
-		if other.priority == sub.priority && other.customer != sub.customer {
+		if order == 0 && other.customer != sub.customer {
 			if other.customer.countedAhead > sub.customer.queued {
 				continue
 			}
--- a/connection/admission/types.go
+++ b/connection/admission/types.go
@@ -21,6 +21,7 @@
 	LongStartInterval time.Duration
 	PauseThreshold    time.Duration // a longer time between two ticks discards the latency windows; default 500 ms
 
+	noRank             bool // for tests: the queue ignores ranks
 	noPriority         bool // for tests: the queue ignores priority
 	noFairness         bool // for tests: the queue ignores customers
 	noReserve          bool // for tests: long work may take every slot
@@ -72,6 +73,7 @@
 // Class holds the settings of one class of work of a service.
 type Class struct {
 	Priority Priority
+	Rank     int  // of work without Work.Rank, on the same scale; 0 is the most urgent
 	Long     bool // runs in the share of slots for long work
 	// Objective is the desired time from arrival to end; 0 means none. Work
 	// that can still meet it starts before work that cannot.
@@ -105,9 +107,12 @@
 	// slots, unless they are called.
 	AllowLate bool
 	// Called marks work that a running request at another target waits for. It goes
-	// before other work, and more of it may wait: its refusal would waste the slot that
-	// waits for it.
+	// before other work of its rank, and more of it may wait: its refusal would waste the
+	// slot that waits for it.
 	Called bool
+	// Rank goes before the priority; 0 is the most urgent. Work of one rank is ordered as
+	// without ranks. Negative: absent, the rank of the class applies.
+	Rank int
 }
 
 // Ticket identifies submitted work at one Controller.
@@ -149,6 +154,7 @@
 	ticket     Ticket
 	work       Work
 	class      *classState
+	rank       int // Work.Rank or that of the class
 	priority   Priority
 	long       bool
 	late       bool // could no longer meet its objective when markLate last ran
--- a/process/entry/attempt.go
+++ b/process/entry/attempt.go
@@ -231,7 +231,7 @@
 	q := a.request
 	remaining := q.deadline.Sub(q.entry.now())
 	remaining = max(time.Millisecond, remaining-min(gateDeadlineMargin, remaining/10))
-	fields := make([]roundtrip.Field, 0, 13)
+	fields := make([]roundtrip.Field, 0, 15)
 	fields = append(fields,
 		roundtrip.Field{Name: attempt.HeaderAttempt, Value: a.id},
 		roundtrip.Field{Name: attempt.HeaderFleet, Value: q.entry.options.Token},
@@ -244,6 +244,9 @@
 		roundtrip.Field{Name: attempt.HeaderRequestDigest, Value: strconv.FormatUint(uint64(q.poison.Digest), 16)},
 		roundtrip.Field{Name: attempt.HeaderSharedDigest, Value: strconv.FormatUint(uint64(q.poison.Shared), 16)},
 	)
+	if q.routing.ranked {
+		fields = append(fields, roundtrip.Field{Name: attempt.HeaderRank, Value: strconv.Itoa(q.rank())})
+	}
 	if q.class.Idempotent {
 		fields = append(fields, roundtrip.Field{Name: attempt.HeaderIdempotent, Value: "1"})
 	}
@@ -288,6 +291,15 @@
 	return req
 }
 
+// rank returns the value of HeaderRank.
+func (q *request) rank() int {
+	account := q.class.Rank
+	if q.accountRank != nil {
+		account = *q.accountRank
+	}
+	return attempt.CombinedRank(account, q.class.Rank)
+}
+
 // beforeSend registers the attempt with the entry and the health tracker.
 func (a *activeAttempt) beforeSend(connectedAt time.Time) bool {
 	a.connectedAt = connectedAt
--- a/process/entry/fleet.go
+++ b/process/entry/fleet.go
@@ -10,6 +10,7 @@
 	"github.com/hyssopsill/hyssopsill/connection/ratelimit"
 	"github.com/hyssopsill/hyssopsill/connection/selection"
 	"github.com/hyssopsill/hyssopsill/process/gate"
+	"github.com/hyssopsill/hyssopsill/request/attempt"
 	"github.com/hyssopsill/hyssopsill/request/class"
 	"github.com/hyssopsill/hyssopsill/request/order"
 	"github.com/hyssopsill/hyssopsill/version/config"
@@ -20,6 +21,32 @@
 type routing struct {
 	config *config.Config
 	table  *class.RouteTable
+	ranked bool // requests are sent with ranks, as those of the configuration differ
+}
+
+// hasRanks reports whether the ranks of the accounts and classes of a configuration
+// differ. Accounts without a rank have that of the class.
+func hasRanks(c *config.Config) bool {
+	first, known := 0, false
+	differs := func(rank int) bool {
+		if !known {
+			first, known = rank, true
+		}
+		return rank != first
+	}
+	for _, s := range c.Services {
+		for _, class := range s.Classes {
+			if differs(attempt.CombinedRank(class.Rank, class.Rank)) {
+				return true
+			}
+			for _, a := range c.Accounts {
+				if a.Rank != nil && differs(attempt.CombinedRank(*a.Rank, class.Rank)) {
+					return true
+				}
+			}
+		}
+	}
+	return false
 }
 
 // hasIdempotent reports whether a service has a class of idempotent work.
@@ -96,7 +123,7 @@
 			CustomerBurst: s.CustomerBurst, CustomerConcurrency: s.CustomerConcurrency,
 		}
 	}
-	e.routing.Store(&routing{config: c, table: class.NewRouteTable(routes)})
+	e.routing.Store(&routing{config: c, table: class.NewRouteTable(routes), ranked: hasRanks(c)})
 	e.mu.Lock()
 	e.limiter.SetServices(e.now(), limits)
 	maps.DeleteFunc(e.meanSizes, func(id string, _ float64) bool { return !routeIDs[id] })
--- a/process/entry/request.go
+++ b/process/entry/request.go
@@ -42,6 +42,7 @@
 	class          config.Class
 	long           bool
 	customer       string
+	accountRank    *int // nil: no account, or one without a rank
 	orderKey       order.Key
 	record         record.Request
 
--- a/process/gate/exchange.go
+++ b/process/gate/exchange.go
@@ -29,6 +29,7 @@
 	targetID       string
 	class          string
 	customer       string
+	rank           int // from HeaderRank, -1 without it
 	deadline       time.Time
 	long           bool
 	force          bool // the entry knows of no other target: ignore the breaker
@@ -208,6 +209,7 @@
 	e.gate.mu.Lock()
 	d := e.gate.admission.Submit(e.gate.now(), admission.Work{
 		Attempt: e.id, Target: e.targetID, Class: e.class, Customer: e.customer, Deadline: e.deadline, ArrivedAt: e.arrivedAtEntry, Long: e.long,
+		Rank:   e.rank,
 		NoWait: e.noWait, AllowLate: e.allowLate, Called: e.gate.callers.Called(e.class),
 	})
 	e.gate.deliver(d.Displaced)
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -221,7 +221,8 @@
 	settings.QueueLimit = service.QueueLimit
 	settings.Classes = make(map[string]admission.Class, len(service.Classes))
 	for name, c := range service.Classes {
-		settings.Classes[name] = admission.Class{Priority: admission.ParsePriority(string(c.Priority)), Long: c.Long, Objective: time.Duration(c.Objective)}
+		settings.Classes[name] = admission.Class{Priority: admission.ParsePriority(string(c.Priority)), Long: c.Long, Objective: time.Duration(c.Objective),
+			Rank: attempt.CombinedRank(c.Rank, c.Rank)}
 	}
 	return settings
 }
--- a/process/gate/receive.go
+++ b/process/gate/receive.go
@@ -64,6 +64,7 @@
 	}
 	e.deadline = e.arrivedAt.Add(time.Duration(ms) * time.Millisecond)
 	e.targetID, e.class, e.customer = h.Get(attempt.HeaderTarget), h.Get(attempt.HeaderClass), h.Get(attempt.HeaderCustomer)
+	e.rank = parseRank(h, attempt.HeaderRank)
 	e.long = h.Get(attempt.HeaderLong) == "1"
 	e.force = h.Get(attempt.HeaderForce) == "1"
 	e.noWait = h.Get(attempt.HeaderNoWait) == "1"
@@ -97,6 +98,16 @@
 	return nil
 }
 
+// parseRank returns the rank in a header field, -1 when it is absent or out of range, so
+// that the rank of the class applies.
+func parseRank(h http.Header, name string) int {
+	rank, err := strconv.Atoi(h.Get(name))
+	if err != nil || rank < 0 || rank > attempt.CombinedRank(attempt.MaxRank, attempt.MaxRank) {
+		return -1
+	}
+	return rank
+}
+
 // parseDigest returns the digest in a header field, 0 without one.
 func parseDigest(h http.Header, name string) (poison.RequestDigest, error) {
 	text := h.Get(name)
--- a/request/attempt/headers.go
+++ b/request/attempt/headers.go
@@ -52,6 +52,13 @@
 	TrailerDigest           = "Hyssopsill-Digest"         // xxhash64 of the body, hexadecimal
 )
 
+// MaxRank is the greatest rank of an account and of a class.
+const MaxRank = 15
+
+// CombinedRank returns the value of HeaderRank for the rank of the account, or of the
+// class where there is no account with a rank, and the rank of the class.
+func CombinedRank(account, class int) int { return (MaxRank+1)*account + class }
+
 const headerPrefix = "Hyssopsill-"
 
 // StripFleetHeaders removes the fleet's own headers and trailers, so that
