process/gate, process/entry: calls inherit the rank of the work that waits for them

Called work went before all other work, so that calls of less urgent work starved the urgent work of a small service. Entries send the most urgent rank among the work that runs on their host and is no call (Hyssopsill-Caller-Rank), beside the rank of the request itself. A gate uses it for classes that it knows to be called; an entry cannot tell a call from a request of a customer. Within one rank calls go first as before.

--- a/process/entry/attempt.go
+++ b/process/entry/attempt.go
@@ -246,6 +246,9 @@
 	)
 	if q.routing.ranked {
 		fields = append(fields, roundtrip.Field{Name: attempt.HeaderRank, Value: strconv.Itoa(q.rank())})
+		if rank, ok := q.entry.options.HostRank(); ok {
+			fields = append(fields, roundtrip.Field{Name: attempt.HeaderCallerRank, Value: strconv.Itoa(rank)})
+		}
 	}
 	if q.class.Idempotent {
 		fields = append(fields, roundtrip.Field{Name: attempt.HeaderIdempotent, Value: "1"})
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -49,6 +49,9 @@
 	// HostRetryShare returns the share of the work in progress at the targets of this
 	// host that is a retry. Calls of such work are retries too.
 	HostRetryShare func() float64
+	// HostRank returns the most urgent rank of the work that runs at the targets of this
+	// host and is no call itself. Calls of such work inherit it. It is false without any.
+	HostRank func() (rank int, ok bool)
 	// OnCalledRoom is called with the part that is left of the retry budget of a service
 	// that targets of this host call, as one of its gates reports it.
 	OnCalledRoom func(service string, room float64)
@@ -129,6 +132,9 @@
 	if o.HostRetryShare == nil {
 		o.HostRetryShare = func() float64 { return 0 }
 	}
+	if o.HostRank == nil {
+		o.HostRank = func() (int, bool) { return 0, false }
+	}
 	if o.OnCalledRoom == nil {
 		o.OnCalledRoom = func(string, float64) {}
 	}
--- a/process/gate/exchange.go
+++ b/process/gate/exchange.go
@@ -30,6 +30,7 @@
 	class          string
 	customer       string
 	rank           int // from HeaderRank, -1 without it
+	callerRank     int // from HeaderCallerRank, -1 without it
 	deadline       time.Time
 	long           bool
 	force          bool // the entry knows of no other target: ignore the breaker
@@ -107,6 +108,15 @@
 	return e.gate.callers.Called(e.class)
 }
 
+// workRank returns the rank of the work, -1 when it is that of the class. A call has the
+// rank of the work that waits for it. The caller holds Gate.mu.
+func (e *exchange) workRank() int {
+	if e.callerRank >= 0 && e.gate.callers.Called(e.class) {
+		return e.callerRank
+	}
+	return e.rank
+}
+
 // beginOrder registers the attempt and reports whether it may run. It waits while
 // another attempt of the same order is in progress and responds itself when the
 // order has finished or is refused.
@@ -209,8 +219,7 @@
 	e.gate.mu.Lock()
 	d := e.gate.admission.Submit(e.gate.now(), admission.Work{
 		Attempt: e.id, Target: e.targetID, Class: e.class, Customer: e.customer, Deadline: e.deadline, ArrivedAt: e.arrivedAtEntry, Long: e.long,
-		Rank:   e.rank,
-		NoWait: e.noWait, AllowLate: e.allowLate, Called: e.gate.callers.Called(e.class),
+		NoWait: e.noWait, AllowLate: e.allowLate, Called: e.gate.callers.Called(e.class), Rank: e.workRank(),
 	})
 	e.gate.deliver(d.Displaced)
 	var ch chan admission.Decision
--- a/process/gate/rank_test.go
+++ b/process/gate/rank_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/hyssopsill/hyssopsill/request/attempt"
 )
@@ -16,3 +17,41 @@
 		}
 	}
 }
+
+// Guards against calls of less urgent work that go before urgent work at the called
+// service, and against a rank that a customer's request takes from the work on the host
+// of its entry.
+func TestCallsInheritTheRankOfTheirCaller(t *testing.T) {
+	g := newBudgetGate(t, &fakeClock{now: time.Unix(1000, 0)})
+	run := func(id, class string, rank int) *exchange {
+		e := newExchange(g, false)
+		e.id.Request, e.class, e.rank, e.started = attempt.RequestID(id), class, rank, true
+		g.active[e.id] = e
+		return e
+	}
+	if _, ok := g.MostUrgentRank(); ok {
+		t.Error("an idle gate has a rank")
+	}
+	for range 16 {
+		g.callers.Observe("direct", "shop")
+		g.callers.Observe("call", "orders")
+	}
+	run("a", "direct", 51)
+	g.callers.Observe("direct", "orders")
+	urgent := run("b", "direct", 34)
+	run("c", "call", 0) // a call does not raise the rank of the calls of other work
+	if rank, ok := g.MostUrgentRank(); !ok || rank != 34 {
+		t.Errorf("rank %d %v, want 34", rank, ok)
+	}
+	urgent.ticketEnded = true
+	if rank, _ := g.MostUrgentRank(); rank != 51 {
+		t.Errorf("rank %d after the urgent work, want 51", rank)
+	}
+	for class, want := range map[string]int{"call": 34, "direct": 17} {
+		e := newExchange(g, false)
+		e.class, e.rank, e.callerRank = class, 17, 34
+		if got := e.workRank(); got != want {
+			t.Errorf("%s: rank %d, want %d", class, got, want)
+		}
+	}
+}
--- a/process/gate/receive.go
+++ b/process/gate/receive.go
@@ -64,7 +64,7 @@
 	}
 	e.deadline = e.arrivedAt.Add(time.Duration(ms) * time.Millisecond)
 	e.targetID, e.class, e.customer = h.Get(attempt.HeaderTarget), h.Get(attempt.HeaderClass), h.Get(attempt.HeaderCustomer)
-	e.rank = parseRank(h, attempt.HeaderRank)
+	e.rank, e.callerRank = parseRank(h, attempt.HeaderRank), parseRank(h, attempt.HeaderCallerRank)
 	e.long = h.Get(attempt.HeaderLong) == "1"
 	e.force = h.Get(attempt.HeaderForce) == "1"
 	e.noWait = h.Get(attempt.HeaderNoWait) == "1"
--- a/process/gate/retry_budget.go
+++ b/process/gate/retry_budget.go
@@ -118,6 +118,36 @@
 	return retries / float64(running)
 }
 
+// MostUrgentRank returns the most urgent rank of the work that runs at the targets of this
+// gate and is no call itself. It is false without any.
+func (g *Gate) MostUrgentRank() (rank int, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, e := range g.active {
+		if !e.started || e.ticketEnded || g.callers.Called(e.class) {
+			continue
+		}
+		own := e.rank
+		if own < 0 {
+			own = g.classRank(e)
+		}
+		if !ok || own < rank {
+			rank, ok = own, true
+		}
+	}
+	return rank, ok
+}
+
+// classRank returns the rank of work without a header. The caller holds g.mu.
+func (g *Gate) classRank(e *exchange) int {
+	t := g.targets[e.targetID]
+	if t == nil || g.config == nil {
+		return 0
+	}
+	rank := g.config.Services[t.Service].Classes[e.class].Rank
+	return attempt.CombinedRank(rank, rank)
+}
+
 // retryBudget returns this gate's part of a service's retry budget. The caller holds
 // g.mu.
 func (g *Gate) retryBudget(service string) *retry.Budget {
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -157,7 +157,7 @@
 		HeaderBytes: int64(s.Limits.HeaderBytes), BodyBytes: s.Limits.BodyBytes,
 		Now: n.now, Rand: newRand(), Log: n.log, Reporter: n.metrics.Invariants, LogService: n.options.LogService,
 		Record: n.record, OnRequestEnd: n.metrics.ObserveRequest, Quarantined: n.gate.Quarantined,
-		HostRetryShare: n.gate.RetryShare, OnCalledRoom: n.gate.NoteCalledRoom, OnFailedRequest: n.gate.NoteFailedCall,
+		HostRetryShare: n.gate.RetryShare, HostRank: n.gate.MostUrgentRank, OnCalledRoom: n.gate.NoteCalledRoom, OnFailedRequest: n.gate.NoteFailedCall,
 		OnCrash: n.gate.MergePoison,
 	})
 	n.metrics.Set("gate_running", expvar.Func(func() any { return n.gate.Running() }))
--- a/request/fallback/crest_test.go
+++ b/request/fallback/crest_test.go
@@ -30,7 +30,7 @@
 )
 
 // mechanisms are those that the pattern needs.
-type mechanisms struct{ lateQueue, calledFirst bool }
+type mechanisms struct{ lateQueue, calledFirst, ranks bool }
 
 type crestEvent struct {
 	at       time.Duration
@@ -53,6 +53,7 @@
 	id, service string
 	breaker     *breaker.Breaker
 	spellUntil  time.Duration
+	running     []*crestRequest
 }
 
 // crestRequest is a request of a customer, or a call by a run of one.
@@ -65,6 +66,7 @@
 	work       time.Duration
 	idempotent bool
 	called     bool
+	rank       int
 	calls      int // to make after half of the work
 	attempts   int // that reached a target
 	refusals   []Refusal
@@ -86,12 +88,17 @@
 	budgets    map[string]*retry.Budget
 	served     map[string]int // by class
 	failed     map[string]int // after they began to run
+	inTime     map[string]int // served within the objective
 	offered    map[string]int
 }
 
-func runCrest(seed uint64, orderRate float64, with mechanisms) *crest {
-	c := &crest{with: with, orderRate: orderRate, random: rand.New(rand.NewPCG(seed, 3)), controller: admission.New(admission.Options{}, invariant.PanicReporter{}),
+func newCrest(seed uint64, orderRate float64, with mechanisms) *crest {
+	return &crest{inTime: map[string]int{}, with: with, orderRate: orderRate, random: rand.New(rand.NewPCG(seed, 3)), controller: admission.New(admission.Options{}, invariant.PanicReporter{}),
 		targets: map[string][]*crestTarget{}, waiting: map[admission.Ticket]func(admission.Decision){}, served: map[string]int{}, failed: map[string]int{}, offered: map[string]int{}, budgets: map[string]*retry.Budget{}}
+}
+
+func runCrest(seed uint64, orderRate float64, with mechanisms) *crest {
+	c := newCrest(seed, orderRate, with)
 	c.addTargets("orders", orderTargets, map[string]admission.Class{"order": {Objective: 2500 * time.Millisecond}, "read": {Objective: time.Second}})
 	c.addTargets("drawings", calledTargets, map[string]admission.Class{
 		"call": {Objective: 500 * time.Millisecond}, "download": {Objective: 3 * time.Second}})
@@ -107,6 +114,12 @@
 		c.submitCustomer(&crestRequest{class: "download", service: "drawings", deadline: 8 * time.Second, objective: 3 * time.Second,
 			work: c.workTime(370 * time.Millisecond), idempotent: true})
 	})
+	c.run()
+	return c
+}
+
+// run replays the pattern until crestLength.
+func (c *crest) run() {
 	c.tick()
 	for len(c.pending) > 0 {
 		e := heap.Pop(&c.pending).(crestEvent)
@@ -116,7 +129,6 @@
 		c.now = e.at
 		e.run()
 	}
-	return c
 }
 
 func (c *crest) addTargets(service string, n int, classes map[string]admission.Class) {
@@ -172,6 +184,9 @@
 	q.end = func(ok bool) {
 		if ok && c.now <= q.deadline {
 			c.served[q.class]++
+			if c.now <= q.start+q.objective {
+				c.inTime[q.class]++
+			}
 		}
 	}
 	c.next(q)
@@ -256,10 +271,10 @@
 			c.next(q)
 			return
 		}
-		c.run(q, t, d.Ticket, trial)
+		c.start(q, t, d.Ticket, trial)
 	}
 	d := c.controller.Submit(c.time(), admission.Work{Target: t.id, Class: q.class, Deadline: start.Add(q.deadline), ArrivedAt: start.Add(q.start),
-		AllowLate: late && c.with.lateQueue, Called: q.called && c.with.calledFirst})
+		AllowLate: late && c.with.lateQueue, Called: q.called && c.with.calledFirst, Rank: c.rank(q.rank)})
 	c.deliver(d.Displaced)
 	if d.Kind == admission.Queued {
 		c.waiting[d.Ticket] = admitted
@@ -268,16 +283,18 @@
 	admitted(d)
 }
 
-// run runs a request at a target: half of its work, its calls, the other half.
-func (c *crest) run(q *crestRequest, t *crestTarget, ticket admission.Ticket, trial bool) {
+// start runs a request at a target: half of its work, its calls, the other half.
+func (c *crest) start(q *crestRequest, t *crestTarget, ticket admission.Ticket, trial bool) {
 	c.controller.Confirm(c.time(), ticket)
 	q.attempts++
 	if q.attempts == 1 {
 		c.budgets[q.service].CountFirstAttempt(c.time())
 	}
 	q.failed = append(q.failed, t.id)
+	t.running = append(t.running, q)
 	sentAt := c.time()
 	end := func(ok, callFailed bool) {
+		t.running = slices.DeleteFunc(t.running, func(other *crestRequest) bool { return other == q })
 		c.deliver(c.controller.Finish(c.time(), ticket, admission.Result{OK: ok}))
 		outcome := breaker.Success
 		switch {
@@ -304,7 +321,7 @@
 		}
 		calls--
 		c.next(&crestRequest{class: "call", service: "drawings", start: c.now, deadline: min(q.deadline, c.now+1500*time.Millisecond), objective: 500 * time.Millisecond,
-			work: c.workTime(120 * time.Millisecond), idempotent: true, called: true, end: func(ok bool) {
+			work: c.workTime(120 * time.Millisecond), idempotent: true, called: true, rank: t.mostUrgentRank(), end: func(ok bool) {
 				if ok {
 					call()
 					return
