connection/admission: a test of fair shares under a hot account

The fair shares of the queue already keep an account that sends six times its usual demand from crowding out the others; no further mechanism is needed at the gate.

--- a/connection/admission/rank_test.go
+++ b/connection/admission/rank_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -102,3 +103,39 @@
 		t.Errorf("%d of %d refusals after 0.5 s, without the mechanism %d of %d; %.3f and %.3f in time", held, refused, heldBefore, refusedBefore, other, otherBefore)
 	}
 }
+
+// Guards against an account that sends six times its usual demand and crowds out the
+// others: of 20 accounts one uses 0.2 of the capacity, and 1.2 for 6 of 10 s; the others
+// use 0.6 together, each less than its fair share.
+func TestHotAccountLeavesOthersTheirShare(t *testing.T) {
+	const capacity = 5 * 11 / 0.12
+	run := func(o Options) (hot, least float64) {
+		s := newSim(o, 3, 5, 11, 0, map[string]Class{"c": {Objective: 1500 * time.Millisecond}})
+		s.byCustomer = true
+		var streams []stream
+		for i := range 20 {
+			streams = append(streams, stream{class: "c", customer: fmt.Sprint("a", i), rank: 17, meanService: 120 * time.Millisecond, shape: 4, deadline: 6 * time.Second,
+				rate: func(at time.Duration) float64 {
+					switch {
+					case i > 0:
+						return 0.6 / 19 * capacity
+					case at%(10*time.Second) > 4*time.Second:
+						return 1.2 * capacity
+					}
+					return 0.2 * capacity
+				}})
+		}
+		s.run(30*time.Second, streams...)
+		least = 1
+		for i := range 19 {
+			least = min(least, s.within(fmt.Sprint("a", i+1), 1500*time.Millisecond))
+		}
+		return s.within("a0", 1500*time.Millisecond), least
+	}
+	hot, least := run(Options{})
+	hotBefore, leastBefore := run(Options{noFairness: true})
+	t.Logf("served in time: hot account %.3f, least of the others %.3f; without fair shares %.3f and %.3f", hot, least, hotBefore, leastBefore)
+	if least < 0.9 || leastBefore >= least || hot < 0.25 {
+		t.Errorf("served in time: hot account %.3f, least of the others %.3f, want 0.25 and 0.9; without fair shares %.3f and %.3f", hot, least, hotBefore, leastBefore)
+	}
+}
--- a/connection/admission/sim_test.go
+++ b/connection/admission/sim_test.go
@@ -56,6 +56,7 @@
 	answered      map[string][]int // number of responses before the deadline by class and second of the response
 	latency       map[string][]time.Duration
 	refusedAfter  map[string][]time.Duration
+	byCustomer    bool // latency and offered by customer instead of class
 }
 
 type request struct {
@@ -84,7 +85,7 @@
 
 func (s *sim) run(end time.Duration, streams ...stream) {
 	for _, st := range streams {
-		s.offered[st.class], s.answered[st.class] = make([]int, end/time.Second+1), make([]int, end/time.Second+1)
+		s.offered[s.series(st)], s.answered[s.series(st)] = make([]int, end/time.Second+1), make([]int, end/time.Second+1)
 	}
 	for _, st := range streams {
 		s.arrivals(st)
@@ -112,12 +113,20 @@
 		return
 	}
 	s.schedule(time.Duration(s.random.ExpFloat64()/rate*float64(time.Second)), func() {
-		s.offered[st.class][s.now/time.Second]++
+		s.offered[s.series(st)][s.now/time.Second]++
 		s.submit(&request{stream: st, arrived: s.now}, s.pick())
 		s.arrivals(st)
 	})
 }
 
+// series returns the key of the results of a stream.
+func (s *sim) series(st stream) string {
+	if s.byCustomer {
+		return st.customer
+	}
+	return st.class
+}
+
 func (s *sim) load(id string) float64 {
 	load := s.controller.Load(epoch.Add(s.now), id)
 	return float64(load.Running+load.Queued) / float64(load.Limit)
@@ -185,9 +194,9 @@
 func (s *sim) finish(req *request, ticket Ticket) {
 	delete(s.requests, ticket)
 	duration := s.now - req.arrived
-	s.latency[req.stream.class] = append(s.latency[req.stream.class], duration)
+	s.latency[s.series(req.stream)] = append(s.latency[s.series(req.stream)], duration)
 	if duration <= req.stream.deadline {
-		s.answered[req.stream.class][s.now/time.Second]++
+		s.answered[s.series(req.stream)][s.now/time.Second]++
 	}
 	s.apply(s.controller.Finish(epoch.Add(s.now), ticket, Result{OK: true}))
 }
