--- a/connection/admission/sim_test.go
+++ b/connection/admission/sim_test.go
@@ -36,6 +36,7 @@
 	meanService time.Duration
 	shape       int // shape of the gamma distribution of service times; 1 is exponential
 	deadline    time.Duration
+	rank        int
 }
 
 // sim runs a real Controller in virtual time against targets with random service
@@ -54,6 +55,8 @@
 	offered       map[string][]int // number of requests by class and second
 	answered      map[string][]int // number of responses before the deadline by class and second of the response
 	latency       map[string][]time.Duration
+	refusedAfter  map[string][]time.Duration
+	byCustomer    bool // latency and offered by customer instead of class
 }
 
 type request struct {
@@ -65,7 +68,7 @@
 func newSim(o Options, seed uint64, targets, slots, queueLimit int, classes map[string]Class) *sim {
 	sim := &sim{
 		controller: New(o, invariant.PanicReporter{}), random: rand.New(rand.NewPCG(seed, 1)), slowdown: map[string]float64{}, ejected: map[string]bool{},
-		requests: map[Ticket]*request{}, offered: map[string][]int{}, answered: map[string][]int{}, latency: map[string][]time.Duration{},
+		requests: map[Ticket]*request{}, offered: map[string][]int{}, answered: map[string][]int{}, latency: map[string][]time.Duration{}, refusedAfter: map[string][]time.Duration{},
 	}
 	for i := range targets {
 		id := fmt.Sprintf("t%d", i)
@@ -82,7 +85,7 @@
 
 func (s *sim) run(end time.Duration, streams ...stream) {
 	for _, st := range streams {
-		s.offered[st.class], s.answered[st.class] = make([]int, end/time.Second+1), make([]int, end/time.Second+1)
+		s.offered[s.series(st)], s.answered[s.series(st)] = make([]int, end/time.Second+1), make([]int, end/time.Second+1)
 	}
 	for _, st := range streams {
 		s.arrivals(st)
@@ -110,12 +113,20 @@
 		return
 	}
 	s.schedule(time.Duration(s.random.ExpFloat64()/rate*float64(time.Second)), func() {
-		s.offered[st.class][s.now/time.Second]++
+		s.offered[s.series(st)][s.now/time.Second]++
 		s.submit(&request{stream: st, arrived: s.now}, s.pick())
 		s.arrivals(st)
 	})
 }
 
+// series returns the key of the results of a stream.
+func (s *sim) series(st stream) string {
+	if s.byCustomer {
+		return st.customer
+	}
+	return st.class
+}
+
 func (s *sim) load(id string) float64 {
 	load := s.controller.Load(epoch.Add(s.now), id)
 	return float64(load.Running+load.Queued) / float64(load.Limit)
@@ -137,6 +148,7 @@
 func (s *sim) submit(req *request, target string) {
 	decision := s.controller.Submit(epoch.Add(s.now), Work{
 		Target: target, Class: req.stream.class, Customer: req.stream.customer, Deadline: epoch.Add(req.arrived + req.stream.deadline),
+		Rank: req.stream.rank, ArrivedAt: epoch.Add(req.arrived),
 	})
 	s.requests[decision.Ticket] = req
 	s.apply(append([]Decision{decision}, decision.Displaced...))
@@ -153,6 +165,7 @@
 			s.schedule(s.serviceTime(req, decision.Work.Target), func() { s.finish(req, decision.Ticket) })
 		case Refused:
 			delete(s.requests, decision.Ticket)
+			s.refusedAfter[req.stream.class] = append(s.refusedAfter[req.stream.class], s.now-req.arrived)
 			if others := s.usableTargets(decision.Work.Target); !req.retried && len(others) > 0 {
 				req.retried = true
 				s.submit(req, slices.MinFunc(others, func(a, b string) int {
@@ -181,9 +194,9 @@
 func (s *sim) finish(req *request, ticket Ticket) {
 	delete(s.requests, ticket)
 	duration := s.now - req.arrived
-	s.latency[req.stream.class] = append(s.latency[req.stream.class], duration)
+	s.latency[s.series(req.stream)] = append(s.latency[s.series(req.stream)], duration)
 	if duration <= req.stream.deadline {
-		s.answered[req.stream.class][s.now/time.Second]++
+		s.answered[s.series(req.stream)][s.now/time.Second]++
 	}
 	s.apply(s.controller.Finish(epoch.Add(s.now), ticket, Result{OK: true}))
 }
--- a/process/entry/account.go
+++ b/process/entry/account.go
@@ -19,23 +19,6 @@
 	return account.NewTable(accounts)
 }
 
-// hasRanks reports whether two requests may differ in rank. Where they may not, gates
-// get no ranks and order their work without them.
-func hasRanks(c *config.Config) bool {
-	ranks := map[int]bool{}
-	for _, s := range c.Services {
-		for _, class := range s.Classes {
-			ranks[class.Rank] = true
-		}
-	}
-	for _, a := range c.Accounts {
-		if a.Rank != nil {
-			return true
-		}
-	}
-	return len(ranks) > 1
-}
-
 // admitAccount finds the account of the request and, from that, the customer. It refuses
 // the request and reports false when it needs an API key and has none.
 func (q *request) admitAccount(public bool) bool {
--- a/process/entry/attempt.go
+++ b/process/entry/attempt.go
@@ -249,8 +249,10 @@
 		fields = append(fields, roundtrip.Field{Name: attempt.HeaderAccountName, Value: q.account.Name})
 	}
 	if q.routing.ranked {
-		rank := account.RequestRank(q.account, q.class.Rank)
-		fields = append(fields, roundtrip.Field{Name: attempt.HeaderRank, Value: strconv.Itoa(rank)})
+		fields = append(fields, roundtrip.Field{Name: attempt.HeaderRank, Value: strconv.Itoa(q.rank())})
+		if rank, ok := q.entry.options.HostRank(); ok {
+			fields = append(fields, roundtrip.Field{Name: attempt.HeaderCallerRank, Value: strconv.Itoa(rank)})
+		}
 	}
 	if q.class.Idempotent {
 		fields = append(fields, roundtrip.Field{Name: attempt.HeaderIdempotent, Value: "1"})
@@ -261,7 +263,7 @@
 	if name := q.entry.options.HTTPProfile.CallerService; name != "" {
 		fields = append(fields, roundtrip.Field{Name: name, Value: q.entry.options.HostService})
 	}
-	if age := q.entry.now().Sub(q.start).Milliseconds(); age > 0 {
+	if age := q.entry.now().Sub(q.firstArrival).Milliseconds(); age > 0 {
 		fields = append(fields, roundtrip.Field{Name: attempt.HeaderAgeMS, Value: strconv.FormatInt(age, 10)})
 	}
 	if a.reachedBefore > 0 {
@@ -296,6 +298,11 @@
 	return req
 }
 
+// rank returns the value of HeaderRank.
+func (q *request) rank() int {
+	return account.RequestRank(q.account, q.class.Rank)
+}
+
 // beforeSend registers the attempt with the entry and the health tracker.
 func (a *activeAttempt) beforeSend(connectedAt time.Time) bool {
 	a.connectedAt = connectedAt
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/hyssopsill/hyssopsill/process/roundtrip"
 	"github.com/hyssopsill/hyssopsill/request/attempt"
 	"github.com/hyssopsill/hyssopsill/request/class"
+	"github.com/hyssopsill/hyssopsill/request/fallback"
 	"github.com/hyssopsill/hyssopsill/request/invariant"
 	"github.com/hyssopsill/hyssopsill/request/order"
 	"github.com/hyssopsill/hyssopsill/request/poison"
@@ -52,6 +53,9 @@
 	// HostRetryShare returns the share of the work in progress at the targets of this
 	// host that is a retry. Calls of such work are retries too.
 	HostRetryShare func() float64
+	// HostRank returns the most urgent rank of the work that runs at the targets of this
+	// host and is no call itself. Calls of such work inherit it. It is false without any.
+	HostRank func() (rank int, ok bool)
 	// OnCalledRoom is called with the part that is left of the retry budget of a service
 	// that targets of this host call, as one of its gates reports it.
 	OnCalledRoom func(service string, room float64)
@@ -96,6 +100,7 @@
 	limiter        *ratelimit.Limiter
 	learner        *class.Learner
 	keyIssuer      *order.KeyIssuer
+	returns        fallback.Returns
 	budgets        map[string]*retry.Budget
 	activeAttempts map[uint64]*activeAttempt
 	candidateCache map[string]cachedCandidates // by service
@@ -132,6 +137,9 @@
 	if o.HostRetryShare == nil {
 		o.HostRetryShare = func() float64 { return 0 }
 	}
+	if o.HostRank == nil {
+		o.HostRank = func() (int, bool) { return 0, false }
+	}
 	if o.OnCalledRoom == nil {
 		o.OnCalledRoom = func(string, float64) {}
 	}
@@ -214,7 +222,8 @@
 	e.activeRequests.Add(1)
 	defer e.activeRequests.Add(-1)
 	e.closeIfDraining(w.Header())
-	q := &request{entry: e, callerResponse: w, callerRequest: r, start: e.now(), routing: e.routing.Load()}
+	now := e.now()
+	q := &request{entry: e, callerResponse: w, callerRequest: r, start: now, firstArrival: now, routing: e.routing.Load()}
 	q.assignID()
 	defer q.recordEnd()
 	q.serve()
--- /dev/null
+++ b/process/entry/rank_test.go
@@ -0,0 +1,74 @@
+package entry
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hyssopsill/hyssopsill/request/account"
+	"github.com/hyssopsill/hyssopsill/request/attempt"
+)
+
+// Guards against ranks that are sent where all are equal, which would change the order
+// of a deployment that did not ask for it, and against a rank that a caller chooses.
+func TestRankIsSentWhereRanksDiffer(t *testing.T) {
+	ranked := strings.Replace(testConfig, "[services.shop.classes.browse]", "[services.shop.classes.browse]\nrank = 2", 1)
+	for text, want := range map[string]string{testConfig: "", ranked: "34", ranked + "[accounts.a]\nrank = 1\nkeys = [\"k\"]\n": "18"} {
+		ranks := make(chan string, 1)
+		server := newTestEntryWith(t, text, func(w http.ResponseWriter, r *http.Request) {
+			ranks <- r.Header.Get(attempt.HeaderRank)
+			writeGateResponse(w, r.Header.Get(attempt.HeaderAttempt), "ok", "ok")
+		}, false, 1)
+		req, _ := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL+"/kits", nil)
+		req.Header.Set(attempt.HeaderRank, "0")
+		req.Header.Set(attempt.HeaderAccountKey, "k")
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if got := <-ranks; got != want {
+			t.Errorf("rank %q, want %q", got, want)
+		}
+	}
+	q := &request{account: &account.Account{Rank: new(int)}}
+	q.class.Rank = 3
+	if got := q.rank(); got != 3 {
+		t.Errorf("account of rank 0 and class of rank 3: %d, want 3", got)
+	}
+}
+
+// Guards against rejected work that passes for new when its caller sends it again, and then
+// takes the slot of work that can still meet its objective.
+func TestReturningRequestKeepsItsAge(t *testing.T) {
+	ranked := strings.Replace(testConfig, "[services.shop.classes.browse]", "[services.shop.classes.browse]\nrank = 2", 1)
+	for text, want := range map[string]bool{ranked: true, testConfig: false} {
+		ages := make(chan int, 16)
+		server := newTestEntryWith(t, text, func(w http.ResponseWriter, r *http.Request) {
+			age, _ := strconv.Atoi(r.Header.Get(attempt.HeaderAgeMS))
+			ages <- age
+			refuseAttempt(w, r, attempt.ReasonOverload)
+		}, false, 1)
+		server.Config.Handler.(*Entry).options.HTTPProfile.CallerRequestIDs = true
+		for i, id := range []string{"a", "a", "b"} {
+			req, _ := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL+"/kits", nil)
+			req.Header.Set(attempt.HeaderRequestID, id)
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+			if age := <-ages; (age >= 1000) != (i == 1 && want) {
+				t.Errorf("request %d, %q: age %d ms, ranked %v", i, id, age, want)
+			}
+			for len(ages) > 0 {
+				<-ages
+			}
+			if i == 0 {
+				time.Sleep(time.Second)
+			}
+		}
+	}
+}
--- a/request/account/account.go
+++ b/request/account/account.go
@@ -1,17 +1,14 @@
 package account
 
-import "crypto/sha256"
+import (
+	"crypto/sha256"
 
-const (
-	// MaxKeyBytes bounds an API key. A longer one is refused without a lookup.
-	MaxKeyBytes = 256
-	// MaxRank is the least urgent rank of an account or a class.
-	MaxRank = 15
-	// rankFactor is above MaxRank, so that the rank of the account takes precedence over
-	// that of the class.
-	rankFactor = MaxRank + 1
+	"github.com/hyssopsill/hyssopsill/request/attempt"
 )
 
+// MaxKeyBytes bounds an API key. A longer one is refused without a lookup.
+const MaxKeyBytes = 256
+
 // Account is a client account.
 type Account struct {
 	Name  string
@@ -83,7 +80,7 @@
 // account, if it has one. 0 is the most urgent.
 func RequestRank(a *Account, classRank int) int {
 	if a != nil && a.Rank != nil {
-		return rankFactor**a.Rank + classRank
+		return attempt.CombinedRank(*a.Rank, classRank)
 	}
-	return rankFactor*classRank + classRank
+	return attempt.CombinedRank(classRank, classRank)
 }
--- a/request/account/account_test.go
+++ b/request/account/account_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"strings"
 	"testing"
+
+	"github.com/hyssopsill/hyssopsill/request/attempt"
 )
 
 func testAccounts(n int) []Account {
@@ -95,7 +97,7 @@
 		account *Account
 		class   int
 		want    int
-	}{{nil, 0, 0}, {nil, 2, 34}, {&Account{}, 2, 34}, {ranked, 0, 16}, {ranked, 15, 31}, {nil, MaxRank, 255}} {
+	}{{nil, 0, 0}, {nil, 2, 34}, {&Account{}, 2, 34}, {ranked, 0, 16}, {ranked, 15, 31}, {nil, attempt.MaxRank, 255}} {
 		if got := RequestRank(test.account, test.class); got != test.want {
 			t.Errorf("%+v, class %d: got %d, want %d", test.account, test.class, got, test.want)
 		}
--- a/request/account/doc.go
+++ b/request/account/doc.go
@@ -3,5 +3,5 @@
 //
 // It handles callers without a key or with one that is not or no longer valid. Lookups
 // take the same time for 10 accounts as for 52,000. It has no goroutine, socket or clock
-// and imports nothing else of this module.
+// and imports request/attempt.
 package account
--- a/request/fallback/crest_test.go
+++ b/request/fallback/crest_test.go
@@ -30,7 +30,7 @@
 )
 
 // mechanisms are those that the pattern needs.
-type mechanisms struct{ lateQueue, calledFirst bool }
+type mechanisms struct{ lateQueue, calledFirst, ranks, returns bool }
 
 type crestEvent struct {
 	at       time.Duration
@@ -53,6 +53,7 @@
 	id, service string
 	breaker     *breaker.Breaker
 	spellUntil  time.Duration
+	running     []*crestRequest
 }
 
 // crestRequest is a request of a customer, or a call by a run of one.
@@ -65,6 +66,8 @@
 	work       time.Duration
 	idempotent bool
 	called     bool
+	sent       time.Duration // first, by its caller
+	rank       int
 	calls      int // to make after half of the work
 	attempts   int // that reached a target
 	refusals   []Refusal
@@ -74,24 +77,31 @@
 
 // crest runs the decisions of gates and entries in virtual time.
 type crest struct {
-	with       mechanisms
-	orderRate  float64 // orders/s
-	random     *rand.Rand
-	controller *admission.Controller
-	targets    map[string][]*crestTarget
-	now        time.Duration
-	sequence   int
-	pending    crestEvents
-	waiting    map[admission.Ticket]func(admission.Decision)
-	budgets    map[string]*retry.Budget
-	served     map[string]int // by class
-	failed     map[string]int // after they began to run
-	offered    map[string]int
+	with          mechanisms
+	orderRate     float64 // orders/s
+	random        *rand.Rand
+	controller    *admission.Controller
+	targets       map[string][]*crestTarget
+	now           time.Duration
+	sequence      int
+	pending       crestEvents
+	waiting       map[admission.Ticket]func(admission.Decision)
+	budgets       map[string]*retry.Budget
+	served        map[string]int // by class
+	failed        map[string]int // after they began to run
+	callersReturn bool           // callers honour Retry-After up to a third of the time that they have left
+	rejected      int
+	inTime        map[string]int // served within the objective
+	offered       map[string]int
 }
 
-func runCrest(seed uint64, orderRate float64, with mechanisms) *crest {
-	c := &crest{with: with, orderRate: orderRate, random: rand.New(rand.NewPCG(seed, 3)), controller: admission.New(admission.Options{}, invariant.PanicReporter{}),
+func newCrest(seed uint64, orderRate float64, with mechanisms) *crest {
+	return &crest{inTime: map[string]int{}, with: with, orderRate: orderRate, random: rand.New(rand.NewPCG(seed, 3)), controller: admission.New(admission.Options{}, invariant.PanicReporter{}),
 		targets: map[string][]*crestTarget{}, waiting: map[admission.Ticket]func(admission.Decision){}, served: map[string]int{}, failed: map[string]int{}, offered: map[string]int{}, budgets: map[string]*retry.Budget{}}
+}
+
+func runCrest(seed uint64, orderRate float64, with mechanisms) *crest {
+	c := newCrest(seed, orderRate, with)
 	c.addTargets("orders", orderTargets, map[string]admission.Class{"order": {Objective: 2500 * time.Millisecond}, "read": {Objective: time.Second}})
 	c.addTargets("drawings", calledTargets, map[string]admission.Class{
 		"call": {Objective: 500 * time.Millisecond}, "download": {Objective: 3 * time.Second}})
@@ -107,6 +117,12 @@
 		c.submitCustomer(&crestRequest{class: "download", service: "drawings", deadline: 8 * time.Second, objective: 3 * time.Second,
 			work: c.workTime(370 * time.Millisecond), idempotent: true})
 	})
+	c.run()
+	return c
+}
+
+// run replays the pattern until crestLength.
+func (c *crest) run() {
 	c.tick()
 	for len(c.pending) > 0 {
 		e := heap.Pop(&c.pending).(crestEvent)
@@ -116,7 +132,6 @@
 		c.now = e.at
 		e.run()
 	}
-	return c
 }
 
 func (c *crest) addTargets(service string, n int, classes map[string]admission.Class) {
@@ -168,10 +183,13 @@
 
 func (c *crest) submitCustomer(q *crestRequest) {
 	c.offered[q.class]++
-	q.start, q.deadline = c.now, c.now+q.deadline
+	q.sent, q.start, q.deadline = c.now, c.now, c.now+q.deadline
 	q.end = func(ok bool) {
 		if ok && c.now <= q.deadline {
 			c.served[q.class]++
+			if c.now <= q.sent+q.objective {
+				c.inTime[q.class]++
+			}
 		}
 	}
 	c.next(q)
@@ -203,6 +221,17 @@
 		}
 		c.attempt(q, c.find(q.service, failing[c.random.IntN(len(failing))].Target), false, true)
 	default:
+		c.rejected++
+		if c.callersReturn && !q.called && d.RetryAfter > 0 && d.RetryAfter <= (q.deadline-c.now)/3 {
+			c.after(d.RetryAfter, func() {
+				q.start, q.refusals, q.failed = c.now, nil, nil
+				if c.with.returns {
+					q.start = q.sent
+				}
+				c.next(q)
+			})
+			return
+		}
 		q.end(false)
 	}
 }
@@ -242,7 +271,7 @@
 	if !force {
 		switch t.breaker.Admit(c.time(), q.idempotent) {
 		case breaker.Refuse:
-			q.refusals = append(q.refusals, Refusal{Target: t.id, Failing: !late, Late: late, Wait: t.breaker.RetryAfter(c.time())})
+			q.refusals = append(q.refusals, Refusal{Target: t.id, Failing: !late, Late: late, Wait: t.breaker.RetryAfter(c.time(), q.idempotent)})
 			c.next(q)
 			return
 		case breaker.Trial:
@@ -256,10 +285,10 @@
 			c.next(q)
 			return
 		}
-		c.run(q, t, d.Ticket, trial)
+		c.start(q, t, d.Ticket, trial)
 	}
 	d := c.controller.Submit(c.time(), admission.Work{Target: t.id, Class: q.class, Deadline: start.Add(q.deadline), ArrivedAt: start.Add(q.start),
-		AllowLate: late && c.with.lateQueue, Called: q.called && c.with.calledFirst})
+		AllowLate: late && c.with.lateQueue, Called: q.called && c.with.calledFirst, Rank: c.rank(q.rank)})
 	c.deliver(d.Displaced)
 	if d.Kind == admission.Queued {
 		c.waiting[d.Ticket] = admitted
@@ -268,16 +297,18 @@
 	admitted(d)
 }
 
-// run runs a request at a target: half of its work, its calls, the other half.
-func (c *crest) run(q *crestRequest, t *crestTarget, ticket admission.Ticket, trial bool) {
+// start runs a request at a target: half of its work, its calls, the other half.
+func (c *crest) start(q *crestRequest, t *crestTarget, ticket admission.Ticket, trial bool) {
 	c.controller.Confirm(c.time(), ticket)
 	q.attempts++
 	if q.attempts == 1 {
 		c.budgets[q.service].CountFirstAttempt(c.time())
 	}
 	q.failed = append(q.failed, t.id)
+	t.running = append(t.running, q)
 	sentAt := c.time()
 	end := func(ok, callFailed bool) {
+		t.running = slices.DeleteFunc(t.running, func(other *crestRequest) bool { return other == q })
 		c.deliver(c.controller.Finish(c.time(), ticket, admission.Result{OK: ok}))
 		outcome := breaker.Success
 		switch {
@@ -304,7 +335,7 @@
 		}
 		calls--
 		c.next(&crestRequest{class: "call", service: "drawings", start: c.now, deadline: min(q.deadline, c.now+1500*time.Millisecond), objective: 500 * time.Millisecond,
-			work: c.workTime(120 * time.Millisecond), idempotent: true, called: true, end: func(ok bool) {
+			work: c.workTime(120 * time.Millisecond), idempotent: true, called: true, rank: t.mostUrgentRank(), end: func(ok bool) {
 				if ok {
 					call()
 					return
--- a/version/config/validate.go
+++ b/version/config/validate.go
@@ -11,6 +11,7 @@
 
 	"github.com/hyssopsill/hyssopsill/finding"
 	"github.com/hyssopsill/hyssopsill/request/account"
+	"github.com/hyssopsill/hyssopsill/request/attempt"
 )
 
 const (
@@ -124,8 +125,8 @@
 }
 
 func checkRank(key string, rank int, add addFunc) {
-	if rank < 0 || rank > account.MaxRank {
-		add(key, "is %d, want 0 to %d", rank, account.MaxRank)
+	if rank < 0 || rank > attempt.MaxRank {
+		add(key, "is %d, want 0 to %d", rank, attempt.MaxRank)
 	}
 }
 
