request/fallback, process/entry: take out the memory of returning requests

It recognizes a request by the ID that its caller chose. On the users' platform each sending of a client has an ID of its own, and the default profile takes no IDs from callers, so that it never applies.

--- a/process/entry/attempt.go
+++ b/process/entry/attempt.go
@@ -263,7 +263,7 @@
 	if name := q.entry.options.HTTPProfile.CallerService; name != "" {
 		fields = append(fields, roundtrip.Field{Name: name, Value: q.entry.options.HostService})
 	}
-	if age := q.entry.now().Sub(q.firstArrival).Milliseconds(); age > 0 {
+	if age := q.entry.now().Sub(q.start).Milliseconds(); age > 0 {
 		fields = append(fields, roundtrip.Field{Name: attempt.HeaderAgeMS, Value: strconv.FormatInt(age, 10)})
 	}
 	if a.reachedBefore > 0 {
--- a/process/entry/await.go
+++ b/process/entry/await.go
@@ -60,7 +60,7 @@
 	}
 	e := q.entry
 	e.mu.Lock()
-	decision := fallback.Decide(e.now(), fallback.Request{Start: q.firstArrival, Deadline: q.deadline, Objective: time.Duration(q.class.Objective),
+	decision := fallback.Decide(e.now(), fallback.Request{Start: q.start, Deadline: q.deadline, Objective: time.Duration(q.class.Objective),
 		ServiceTime: q.policy().MinRemaining, Called: q.called, Refusals: refusals}, e.rand)
 	e.mu.Unlock()
 	switch decision.Step {
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -19,7 +19,6 @@
 	"github.com/hyssopsill/hyssopsill/process/roundtrip"
 	"github.com/hyssopsill/hyssopsill/request/attempt"
 	"github.com/hyssopsill/hyssopsill/request/class"
-	"github.com/hyssopsill/hyssopsill/request/fallback"
 	"github.com/hyssopsill/hyssopsill/request/invariant"
 	"github.com/hyssopsill/hyssopsill/request/order"
 	"github.com/hyssopsill/hyssopsill/request/poison"
@@ -100,7 +99,6 @@
 	limiter        *ratelimit.Limiter
 	learner        *class.Learner
 	keyIssuer      *order.KeyIssuer
-	returns        fallback.Returns
 	budgets        map[string]*retry.Budget
 	activeAttempts map[uint64]*activeAttempt
 	candidateCache map[string]cachedCandidates // by service
@@ -222,8 +220,7 @@
 	e.activeRequests.Add(1)
 	defer e.activeRequests.Add(-1)
 	e.closeIfDraining(w.Header())
-	now := e.now()
-	q := &request{entry: e, callerResponse: w, callerRequest: r, start: now, firstArrival: now, routing: e.routing.Load()}
+	q := &request{entry: e, callerResponse: w, callerRequest: r, start: e.now(), routing: e.routing.Load()}
 	q.assignID()
 	defer q.recordEnd()
 	q.serve()
--- a/process/entry/request.go
+++ b/process/entry/request.go
@@ -36,7 +36,6 @@
 	callerResponse http.ResponseWriter
 	callerRequest  *http.Request
 	start          time.Time
-	firstArrival   time.Time // start, or an earlier one when a rejected request returns
 	deadline       time.Time
 	routing        *routing
 	match          class.Match
@@ -172,29 +171,9 @@
 	}
 	q.class = q.routing.config.Services[q.service].Classes[match.Route.Class]
 	q.record.Route, q.record.Service, q.record.Class = match.Route.ID, q.service, match.Route.Class
-	q.setFirstArrival()
 	return attempt.ReasonNone, nil
 }
 
-// setFirstArrival recognizes a request that this entry rejected before by the ID that its
-// caller chose, where ranks are in use.
-func (q *request) setFirstArrival() {
-	if key := q.returnKey(); key != "" {
-		q.entry.mu.Lock()
-		q.firstArrival = q.entry.returns.FirstArrival(q.start, key)
-		q.entry.mu.Unlock()
-	}
-}
-
-// returnKey returns the key for fallback.Returns. It is empty for a request that cannot be
-// recognized, or without ranks.
-func (q *request) returnKey() string {
-	if q.routing == nil || !q.routing.ranked || !q.entry.options.HTTPProfile.CallerRequestIDs {
-		return ""
-	}
-	return q.customer + "\x00" + string(q.record.ID)
-}
-
 // pickSplitService picks a random service by the weights of a split.
 func (e *Entry) pickSplitService(split []class.SplitShare) string {
 	e.mu.Lock()
@@ -363,11 +342,6 @@
 // refuse ends the request with a problem document.
 func (q *request) refuse(outcome attempt.Outcome, reason attempt.Reason, detail string, retryAfter time.Duration) {
 	q.record.Outcome, q.record.Reason, q.record.Detail = outcome, reason, detail
-	if key := q.returnKey(); key != "" && outcome == attempt.NotRun && reason == attempt.ReasonOverload {
-		q.entry.mu.Lock()
-		q.entry.returns.Rejected(q.entry.now(), key, q.firstArrival)
-		q.entry.mu.Unlock()
-	}
 	q.entry.closeIfDraining(q.callerResponse.Header())
 	q.record.Status = q.entry.options.HTTPProfile.WriteProblem(q.callerResponse, attempt.NewProblem(q.record.ID, outcome, reason, detail, retryAfter))
 	if reason == attempt.ReasonTooLarge {
