connection/quota: fleet-wide rate limits of accounts, first part

An account that sends through many entries exceeds its limit by a factor of the entries if each entry limits it alone. The Meter admits by a verdict of the account's owner and reports cumulative counts; the Ledger of the owner keeps the token bucket. Owners take the part of the limit that the responding nodes or the arriving demand have.

--- /dev/null
+++ b/connection/quota/ledger.go
@@ -0,0 +1,383 @@
+package quota
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/hyssopsill/hyssopsill/request/attempt"
+)
+
+// LedgerOptions configure a Ledger.
+type LedgerOptions struct {
+	Node   string
+	Bounds Bounds
+	// OnChange is called when the share of an account falls below 1 and when it is 1
+	// again.
+	OnChange func(Change)
+
+	// Each switch turns one mechanism off, for the tests that show which failure it
+	// prevents.
+	noCorrection, noReserve, noPush, reportersOnly, fullAtTakeover, ignoreReachable, noHold, addCounts, ignoreAcked, ignoreReturned bool
+}
+
+// Change is a change of an account's share.
+type Change struct {
+	Account   string
+	Share     float64
+	Demand    float64 // requests/s
+	Limit     Limit
+	Throttled bool
+}
+
+// Ledger counts the accounts that a node owns. It is not safe for concurrent use.
+type Ledger struct {
+	options   LedgerOptions
+	reachable float64 // share of the known nodes that respond
+	accounts  map[string]*ledgerAccount
+	throttled map[string]*ledgerAccount // with a share below 1, or with a push to do
+	nextSweep time.Time
+}
+
+type ledgerAccount struct {
+	name       string
+	limit      Limit
+	bucket     bucket
+	demand     average
+	entries    map[string]*reporter
+	share      float64
+	pushedAt   time.Time
+	pushedAll  bool // the last push went to all nodes
+	pushDue    bool
+	reportedAt time.Time
+	createdAt  time.Time // also when the account was taken over again
+	// ceiling bounds the share for a time after a takeover.
+	ceiling      float64
+	ceilingUntil time.Time
+}
+
+type reporter struct {
+	incarnation attempt.Incarnation
+	counts      Counts
+	demand      average
+	reportedAt  time.Time
+	demandAt    time.Time // when it last reported new requests
+	told        float64   // the last share that it was told
+	toldAt      time.Time
+	lostAt      time.Time // when a push failed; zero since its last report
+	lostDemand  float64
+}
+
+const (
+	// horizon is the time until a verdict takes effect: a report interval and two messages.
+	horizon = 300 * time.Millisecond
+	// correctionTime is the time in which a level beyond the target is corrected. It is
+	// several times the horizon, so that the share does not oscillate.
+	correctionTime = time.Second
+	// takeoverGap is the time without reports after which a record of an account is out of
+	// date: another node may have counted it.
+	takeoverGap = 2 * time.Second
+	// holdTime is the time for which the demand of an entry that a push did not reach is
+	// still expected, and a new owner does not exceed the share of its predecessor. After
+	// that, membership knows which nodes respond: in a partition of a third of 108 nodes
+	// each node sends one ping a second, a third of which fail.
+	holdTime = 10 * time.Second
+
+	minDemandTime, maxDemandTime = 300 * time.Millisecond, 2 * time.Second
+	demandRequests               = 10 // that the demand is averaged over, if the time allows
+	entryDemandFactor            = 5  // an entry sees only a part of the requests
+)
+
+// NewLedger returns a Ledger without accounts.
+func NewLedger(o LedgerOptions) *Ledger {
+	if o.OnChange == nil {
+		o.OnChange = func(Change) {}
+	}
+	return &Ledger{options: o, reachable: 1, accounts: map[string]*ledgerAccount{}, throttled: map[string]*ledgerAccount{}}
+}
+
+// SetReachable sets the share of the known nodes that respond, as membership sees it.
+// Owners on both sides of a partition each take their side's part of a limit.
+func (l *Ledger) SetReachable(share float64) {
+	if !l.options.ignoreReachable && share > 0 && share <= 1 {
+		l.reachable = share
+	}
+}
+
+// Report applies a report of an entry and returns the verdicts for it. limits returns
+// the limit of an account, which has none if the rate is 0.
+func (l *Ledger) Report(now time.Time, r Report, limits func(account string) Limit) Verdicts {
+	out := Verdicts{Owner: l.options.Node}
+	for i := range r.Accounts {
+		reported := &r.Accounts[i]
+		limit := limits(reported.Account)
+		if limit.Rate <= 0 {
+			l.drop(reported.Account)
+			continue
+		}
+		a := l.account(now, reported.Account, limit)
+		e := a.entries[r.Entry]
+		if e != nil && r.Incarnation.Compare(e.incarnation) < 0 {
+			continue
+		}
+		l.inherit(now, a, reported.Share)
+		e = l.charge(now, a, e, r, reported)
+		l.update(now, a)
+		if a.share < 1 || (e.told < 1 && now.Sub(e.toldAt) < VerdictTTL+CallTimeout) {
+			e.told, e.toldAt = a.share, now
+			out.Verdicts = append(out.Verdicts, Verdict{a.name, a.share, now.UnixNano()})
+		}
+	}
+	return out
+}
+
+func (l *Ledger) account(now time.Time, name string, limit Limit) *ledgerAccount {
+	a := l.accounts[name]
+	if a == nil {
+		a = &ledgerAccount{name: name, entries: map[string]*reporter{}, share: 1, createdAt: now}
+		a.bucket = bucket{level: limit.Burst * l.reachable, at: now}
+		l.accounts[name] = a
+	} else if now.Sub(a.reportedAt) > takeoverGap {
+		a.createdAt = now
+	}
+	a.limit, a.reportedAt = limit, now
+	return a
+}
+
+// inherit takes over the share that another owner gave an entry: the bucket is empty, and
+// the share is not raised until it is known how much of the demand reaches this owner.
+func (l *Ledger) inherit(now time.Time, a *ledgerAccount, share *float64) {
+	if share == nil || !(*share >= 0 && *share < 1) || now.Sub(a.createdAt) > VerdictTTL || l.options.fullAtTakeover {
+		return
+	}
+	if now.Before(a.ceilingUntil) {
+		a.ceiling = min(a.ceiling, *share)
+		return
+	}
+	a.bucket.level = min(a.bucket.level, 0)
+	a.ceiling, a.ceilingUntil = max(*share, 0.01), now.Add(holdTime)
+	a.demand.perSecond = max(a.demand.perSecond, a.limit.Rate/a.ceiling)
+}
+
+// charge applies the counts of one entry to the bucket and the demand.
+func (l *Ledger) charge(now time.Time, a *ledgerAccount, e *reporter, r Report, reported *AccountReport) *reporter {
+	base := reported.Acked
+	if l.options.ignoreAcked {
+		base = Counts{}
+	}
+	if e == nil || r.Incarnation.Compare(e.incarnation) > 0 {
+		told, toldAt := 1.0, time.Time{}
+		if e != nil {
+			told, toldAt = e.told, e.toldAt
+		}
+		e = &reporter{incarnation: r.Incarnation, told: told, toldAt: toldAt}
+		a.entries[r.Entry] = e
+	} else {
+		base = base.atLeast(e.counts)
+	}
+	if l.options.addCounts {
+		base = reported.Acked
+	}
+	e.counts = reported.Counts.atLeast(base)
+	delta := e.counts.minus(base)
+	if l.options.ignoreReturned {
+		delta.Returned = 0
+	}
+	requests := float64(delta.Admitted + delta.Refused)
+	e.reportedAt, e.lostAt = now, time.Time{}
+	if requests > 0 {
+		e.demandAt = now
+	}
+	part := l.part(now, a)
+	a.bucket.refill(now, a.limit.Rate*part, a.limit.Burst*part)
+	a.bucket.level -= float64(delta.Admitted - delta.Returned)
+	a.demand.add(now, requests, demandTime(a.limit))
+	e.demand.add(now, requests, entryDemandFactor*demandTime(a.limit))
+	return e
+}
+
+func demandTime(l Limit) time.Duration {
+	return min(max(seconds(demandRequests/l.Rate), minDemandTime), maxDemandTime)
+}
+
+// part returns the part of the limit that this owner may give out: that of the nodes that
+// respond, or of the demand that still arrives.
+func (l *Ledger) part(now time.Time, a *ledgerAccount) float64 {
+	lost := 0.0
+	if !l.options.noHold {
+		for _, e := range a.entries {
+			if !e.lostAt.IsZero() && now.Sub(e.lostAt) < holdTime {
+				lost += e.lostDemand
+			}
+		}
+	}
+	if lost == 0 {
+		return l.reachable
+	}
+	return min(l.reachable, a.demand.perSecond/(a.demand.perSecond+lost))
+}
+
+// update computes the share of an account.
+func (l *Ledger) update(now time.Time, a *ledgerAccount) {
+	a.demand.add(now, 0, demandTime(a.limit))
+	part := l.part(now, a)
+	rate := a.limit.Rate * part
+	a.bucket.refill(now, rate, a.limit.Burst*part)
+	left := a.bucket.level
+	if !l.options.noReserve {
+		left += l.options.Bounds.reserve(a.limit) * part
+	}
+	demand, share := a.demand.perSecond, 1.0
+	if left <= 0 || left < (demand-rate)*horizon.Seconds() {
+		correction := left / correctionTime.Seconds()
+		if l.options.noCorrection {
+			correction = 0
+		}
+		share = 0
+		if demand > 0 {
+			share = min(max(0, (rate+correction)/demand), 1)
+		}
+	}
+	if now.Before(a.ceilingUntil) {
+		share = min(share, a.ceiling)
+	}
+	if (share < 1) != (a.share < 1) {
+		a.pushDue = true
+		l.throttled[a.name] = a
+		l.options.OnChange(Change{a.name, share, demand, a.limit, share < 1})
+	}
+	a.share = share
+}
+
+// Push returns the verdicts to send now, by entry. nodes are all nodes that respond: while
+// a level is below zero, entries without a recent report get the verdict too, because the
+// first requests at many such entries can exceed a small limit.
+func (l *Ledger) Push(now time.Time, nodes []string) map[string]Verdicts {
+	l.sweep(now)
+	var out map[string]Verdicts
+	for _, name := range slices.Sorted(maps.Keys(l.throttled)) {
+		a := l.throttled[name]
+		l.update(now, a)
+		if !a.pushDue && now.Sub(a.pushedAt) < PushInterval {
+			continue
+		}
+		if a.share == 1 && !a.pushDue {
+			delete(l.throttled, name)
+			continue
+		}
+		if l.options.noPush {
+			a.pushDue = false
+			continue
+		}
+		all := (a.bucket.level < 0 || a.pushedAll) && !l.options.reportersOnly
+		for _, entry := range l.recipients(now, a, nodes, all) {
+			if out == nil {
+				out = map[string]Verdicts{}
+			}
+			v := out[entry]
+			v.Owner = l.options.Node
+			v.Verdicts = append(v.Verdicts, Verdict{name, a.share, now.UnixNano()})
+			out[entry] = v
+		}
+		a.pushDue, a.pushedAt, a.pushedAll = false, now, all && a.share < 1
+	}
+	return out
+}
+
+// recipients returns the entries that a push goes to: those that reported requests
+// recently, or all. An entry that was told a share by a response since the last push gets
+// none.
+func (l *Ledger) recipients(now time.Time, a *ledgerAccount, nodes []string, all bool) []string {
+	var out []string
+	add := func(name string, e *reporter) {
+		if e != nil && now.Sub(e.toldAt) < PushInterval && (e.told == a.share || (e.told < 1 && a.share < 1)) {
+			return
+		}
+		if e != nil {
+			e.told, e.toldAt = a.share, now
+		}
+		out = append(out, name)
+	}
+	for _, name := range slices.Sorted(maps.Keys(a.entries)) {
+		if e := a.entries[name]; now.Sub(e.demandAt) < reporterMemory || (all && slices.Contains(nodes, name)) {
+			add(name, e)
+		}
+	}
+	if all {
+		for _, name := range nodes {
+			if a.entries[name] == nil {
+				add(name, nil)
+			}
+		}
+	}
+	return out
+}
+
+// PushFailed notes that a push did not reach an entry, which may still admit its share of
+// its requests.
+func (l *Ledger) PushFailed(now time.Time, entry string, v Verdicts) {
+	for _, verdict := range v.Verdicts {
+		a := l.accounts[verdict.Account]
+		if a == nil {
+			continue
+		}
+		if e := a.entries[entry]; e != nil && e.lostAt.IsZero() && now.Sub(e.reportedAt) > CallTimeout {
+			tau := entryDemandFactor * demandTime(a.limit)
+			e.lostDemand = e.demand.perSecond * math.Exp(-float64(now.Sub(e.reportedAt)-CallTimeout)/float64(tau))
+			e.lostAt = now
+		}
+	}
+}
+
+func (l *Ledger) drop(name string) {
+	delete(l.accounts, name)
+	delete(l.throttled, name)
+}
+
+// sweep drops accounts and entries without recent reports.
+func (l *Ledger) sweep(now time.Time) {
+	if now.Before(l.nextSweep) {
+		return
+	}
+	l.nextSweep = now.Add(sweepInterval)
+	for name, a := range l.accounts {
+		maps.DeleteFunc(a.entries, func(_ string, e *reporter) bool { return now.Sub(e.reportedAt) > idleAccount })
+		if now.Sub(a.reportedAt) > idleAccount && a.share == 1 {
+			l.drop(name)
+		}
+	}
+}
+
+// OwnedStatus describes an account at its owner.
+type OwnedStatus struct {
+	Account string  `json:"account"`
+	Rate    float64 `json:"rate"`
+	Burst   float64 `json:"burst"`
+	Level   float64 `json:"level"`
+	Demand  float64 `json:"demand"` // requests/s over all entries
+	Share   float64 `json:"share"`
+	Entries int     `json:"entries"` // that report it
+}
+
+// Status returns the accounts that this node counts, sorted by name.
+func (l *Ledger) Status(now time.Time) []OwnedStatus {
+	out := make([]OwnedStatus, 0, len(l.accounts))
+	for _, name := range slices.Sorted(maps.Keys(l.accounts)) {
+		a := l.accounts[name]
+		l.update(now, a)
+		out = append(out, OwnedStatus{name, a.limit.Rate, a.limit.Burst, a.bucket.level, a.demand.perSecond, a.share, len(a.entries)})
+	}
+	return out
+}
+
+// Throttled returns the number of accounts with a share below 1.
+func (l *Ledger) Throttled() int {
+	n := 0
+	for _, a := range l.throttled {
+		if a.share < 1 {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/connection/quota/meter.go
@@ -0,0 +1,370 @@
+package quota
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hyssopsill/hyssopsill/request/attempt"
+)
+
+// MeterOptions configure a Meter.
+type MeterOptions struct {
+	Node        string
+	Incarnation attempt.Incarnation
+	Bounds      Bounds
+
+	// Each switch turns one mechanism off, for the tests that show which failure it
+	// prevents.
+	noBucket, noPhase, noFailover, noVerdicts, noIsolation bool
+}
+
+// Meter admits the requests of accounts at one entry. It is not safe for concurrent use.
+type Meter struct {
+	options     MeterOptions
+	accounts    map[string]*meteredAccount
+	changed     []*meteredAccount // may have counts that no owner has acknowledged
+	nodes       []node
+	generation  uint64 // of nodes and unreachable; owners of accounts are chosen again after a change
+	unreachable map[string]peerState
+	total       int64 // requests seen; new accounts begin to count here
+	nextSweep   time.Time
+	// isolatedUntil is set while no other node responds. This node counts its own accounts
+	// then.
+	isolatedUntil time.Time
+	lastResponse  time.Time // of another node
+}
+
+type node struct {
+	name string
+	hash uint64
+}
+
+// peerState is what a Meter knows of an owner that did not respond.
+type peerState struct {
+	failures int
+	until    time.Time // the time until which reports go to another node
+}
+
+type meteredAccount struct {
+	name       string
+	hash       uint64
+	phase      float64 // initial credit
+	limit      Limit
+	bucket     bucket
+	credit     float64
+	verdict    Verdict
+	verdictBy  string
+	expires    time.Time
+	owner      string
+	generation uint64 // for which owner was chosen
+	counts     Counts
+	sent       Counts
+	acked      Counts
+	start      Counts
+	sentAt     time.Time
+	usedAt     time.Time
+	listed     bool // in Meter.changed
+}
+
+const (
+	// failuresBeforeFailover is 4 because lost messages must not change the owner: with 2
+	// and a tenth of the messages lost, entries reported to two owners at a time. Four
+	// failures take less time than VerdictTTL.
+	failuresBeforeFailover = 4
+	unreachableTime        = 5 * time.Second
+	// unreachableBeforeIsolated is the number of owners in succession without a response
+	// after which an entry takes itself for cut off. Membership takes a second per node to
+	// find that out.
+	unreachableBeforeIsolated = 4
+	sweepInterval             = 10 * time.Second
+	minRetryAfter             = 100 * time.Millisecond
+)
+
+// NewMeter returns a Meter that knows no nodes.
+func NewMeter(o MeterOptions) *Meter {
+	return &Meter{options: o, accounts: map[string]*meteredAccount{}, unreachable: map[string]peerState{}, generation: 1}
+}
+
+// SetNodes replaces the nodes that may be owners.
+func (m *Meter) SetNodes(names []string) {
+	if slices.EqualFunc(m.nodes, names, func(n node, name string) bool { return n.name == name }) {
+		return
+	}
+	m.nodes = m.nodes[:0]
+	for _, name := range names {
+		m.nodes = append(m.nodes, node{name, xxhash.Sum64String(name)})
+	}
+	maps.DeleteFunc(m.unreachable, func(name string, _ peerState) bool { return !slices.Contains(names, name) })
+	m.generation++
+}
+
+// Allow decides on one request of an account and counts it. An account without a limit
+// is admitted and not counted.
+func (m *Meter) Allow(now time.Time, account string, limit Limit) Decision {
+	if limit.Rate <= 0 {
+		return Decision{Allowed: true}
+	}
+	a := m.account(now, account, limit)
+	m.total++
+	a.usedAt = now
+	m.list(a)
+	a.bucket.refill(now, limit.Rate, limit.Burst+m.options.Bounds.reserve(limit))
+	if a.bucket.level < 1 && !m.options.noBucket {
+		a.counts.Refused++
+		return Decision{RetryAfter: max(minRetryAfter, seconds((1-a.bucket.level)/limit.Rate))}
+	}
+	if share, ok := a.share(now); ok && share < 1 && !m.options.noVerdicts {
+		a.credit = min(a.credit+share, 2)
+		if a.credit < 1 {
+			a.counts.Refused++
+			return Decision{RetryAfter: m.retryAfter(a)}
+		}
+		a.credit--
+	}
+	a.bucket.level--
+	a.counts.Admitted++
+	return Decision{Allowed: true}
+}
+
+// retryAfter spreads the retries of refused requests: the lower the share and the credit,
+// the later. Half a window is enough for a level below zero to recover.
+func (m *Meter) retryAfter(a *meteredAccount) time.Duration {
+	return max(minRetryAfter, time.Duration(float64(m.options.Bounds.Window)/2*(1-a.verdict.Share)*(1-a.credit/2)))
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func (m *Meter) account(now time.Time, name string, limit Limit) *meteredAccount {
+	a := m.accounts[name]
+	if a == nil {
+		hash := xxhash.Sum64String(name)
+		// Counts begin at the number of all requests, so that they never go back for an
+		// account that was dropped from memory and returns.
+		start := Counts{m.total, m.total, m.total}
+		a = &meteredAccount{name: name, hash: hash, limit: limit, counts: start, sent: start, acked: start, start: start}
+		a.bucket = bucket{level: limit.Burst + m.options.Bounds.reserve(limit), at: now}
+		if !m.options.noPhase {
+			// The credits of the entries begin at different values: with 108 entries of
+			// which each sees a request in 11 s, a credit of 0 everywhere admits none.
+			a.phase = float64(weight(hash, xxhash.Sum64String(m.options.Node))>>11) / (1 << 53)
+		}
+		a.credit = a.phase
+		m.accounts[name] = a
+	}
+	a.limit = limit
+	return a
+}
+
+func (a *meteredAccount) share(now time.Time) (float64, bool) {
+	return a.verdict.Share, now.Before(a.expires)
+}
+
+func (m *Meter) list(a *meteredAccount) {
+	if !a.listed {
+		a.listed = true
+		m.changed = append(m.changed, a)
+	}
+}
+
+// GiveBack credits a request that Allow admitted and that has not run.
+func (m *Meter) GiveBack(now time.Time, account string) {
+	a := m.accounts[account]
+	if a == nil || a.counts.Returned-a.start.Returned >= a.counts.Admitted-a.start.Admitted {
+		return
+	}
+	a.counts.Returned++
+	a.bucket.level++
+	a.usedAt = now
+	m.list(a)
+}
+
+// Reports returns the messages to send, by owner: the counts that changed since the last
+// report, and those that were not acknowledged within CallTimeout.
+func (m *Meter) Reports(now time.Time) map[string]Report {
+	m.expireUnreachable(now)
+	if now.After(m.nextSweep) {
+		m.nextSweep = now.Add(sweepInterval)
+		maps.DeleteFunc(m.accounts, func(_ string, a *meteredAccount) bool { return !a.listed && now.Sub(a.usedAt) > idleAccount })
+	}
+	var out map[string]Report
+	kept := m.changed[:0]
+	for _, a := range m.changed {
+		if a.counts == a.acked {
+			a.listed = false
+			continue
+		}
+		kept = append(kept, a)
+		if a.counts == a.sent && now.Sub(a.sentAt) < CallTimeout {
+			continue
+		}
+		m.chooseOwner(a)
+		if a.owner == "" {
+			continue
+		}
+		a.sent, a.sentAt = a.counts, now
+		if out == nil {
+			out = map[string]Report{}
+		}
+		r, ok := out[a.owner]
+		if !ok {
+			r = Report{Entry: m.options.Node, Incarnation: m.options.Incarnation}
+		}
+		r.Accounts = append(r.Accounts, m.accountReport(now, a))
+		out[a.owner] = r
+	}
+	clear(m.changed[len(kept):])
+	m.changed = kept
+	return out
+}
+
+func (m *Meter) accountReport(now time.Time, a *meteredAccount) AccountReport {
+	r := AccountReport{Account: a.name, Counts: a.counts, Acked: a.acked}
+	if share, ok := a.share(now); ok && share < 1 && a.verdictBy != a.owner {
+		r.Share = &share
+	}
+	return r
+}
+
+// chooseOwner picks the owner of an account among the nodes that respond. If none does,
+// it is the first in the hash order.
+func (m *Meter) chooseOwner(a *meteredAccount) {
+	if a.generation == m.generation {
+		return
+	}
+	a.generation, a.owner = m.generation, ""
+	if !m.isolatedUntil.IsZero() {
+		a.owner = m.options.Node
+		return
+	}
+	for _, all := range []bool{false, true} {
+		highest := uint64(0)
+		for _, n := range m.nodes {
+			if !all && !m.unreachable[n.name].until.IsZero() {
+				continue
+			}
+			if w := weight(a.hash, n.hash); a.owner == "" || w > highest || (w == highest && n.name < a.owner) {
+				a.owner, highest = n.name, w
+			}
+		}
+		if a.owner != "" {
+			return
+		}
+	}
+}
+
+// expireUnreachable lets reports go to a node again that did not respond. The first
+// failure makes it unreachable once more.
+func (m *Meter) expireUnreachable(now time.Time) {
+	if !m.isolatedUntil.IsZero() && now.After(m.isolatedUntil) {
+		m.isolatedUntil = time.Time{}
+		m.generation++
+	}
+	for name, p := range m.unreachable {
+		if !p.until.IsZero() && now.After(p.until) {
+			m.unreachable[name] = peerState{failures: failuresBeforeFailover - 1}
+			m.generation++
+		}
+	}
+}
+
+// Acknowledge applies the response to a report.
+func (m *Meter) Acknowledge(now time.Time, owner string, r Report, v Verdicts) {
+	if owner != m.options.Node {
+		m.lastResponse = now
+		if !m.isolatedUntil.IsZero() {
+			m.isolatedUntil = time.Time{}
+			m.generation++
+		}
+	}
+	if p, ok := m.unreachable[owner]; ok {
+		delete(m.unreachable, owner)
+		if !p.until.IsZero() {
+			m.generation++
+		}
+	}
+	for _, reported := range r.Accounts {
+		if a := m.accounts[reported.Account]; a != nil {
+			a.acked = a.acked.atLeast(reported.Counts)
+		}
+	}
+	m.Apply(now, v)
+}
+
+// ReportFailed notes that an owner did not respond to a report.
+func (m *Meter) ReportFailed(now time.Time, owner string) {
+	p := m.unreachable[owner]
+	p.failures++
+	if p.failures >= failuresBeforeFailover && p.until.IsZero() && !m.options.noFailover {
+		p.until = now.Add(unreachableTime)
+		m.generation++
+	}
+	m.unreachable[owner] = p
+	unreachable := 0
+	for _, p := range m.unreachable {
+		if !p.until.IsZero() {
+			unreachable++
+		}
+	}
+	if unreachable >= unreachableBeforeIsolated && now.Sub(m.lastResponse) > CallTimeout && !m.options.noIsolation {
+		m.isolatedUntil = now.Add(unreachableTime)
+	}
+}
+
+// Isolated reports whether no other node responds to this entry. Its part of a limit is
+// then that of one node.
+func (m *Meter) Isolated() bool { return !m.isolatedUntil.IsZero() }
+
+// Apply applies verdicts of an owner. The verdict of a node to which this entry does not
+// report counts only while there is none of the node to which it does.
+func (m *Meter) Apply(now time.Time, v Verdicts) {
+	for _, verdict := range v.Verdicts {
+		if !(verdict.Share >= 0 && verdict.Share <= 1) {
+			continue
+		}
+		a := m.accounts[verdict.Account]
+		if a == nil {
+			// The limit is set with the first request. The bucket is full then.
+			a = m.account(now, verdict.Account, Limit{})
+			a.bucket = bucket{}
+			a.usedAt = now
+		}
+		if v.Owner == a.verdictBy && verdict.Made < a.verdict.Made {
+			continue
+		}
+		if v.Owner != a.verdictBy && a.verdictBy != "" && a.verdictBy == a.owner && now.Before(a.expires) {
+			continue
+		}
+		a.verdict, a.verdictBy, a.expires = verdict, v.Owner, now.Add(VerdictTTL)
+	}
+}
+
+// AccountStatus describes an account at one entry.
+type AccountStatus struct {
+	Account  string  `json:"account"`
+	Rate     float64 `json:"rate"`
+	Burst    float64 `json:"burst"`
+	Owner    string  `json:"owner,omitempty"` // node that this entry reports to
+	Share    float64 `json:"share"`
+	Admitted int64   `json:"admitted"`
+	Refused  int64   `json:"refused"`
+	Returned int64   `json:"returned"`
+}
+
+// Status returns the accounts that this entry has seen recently, sorted by name.
+func (m *Meter) Status(now time.Time) []AccountStatus {
+	out := make([]AccountStatus, 0, len(m.accounts))
+	for _, name := range slices.Sorted(maps.Keys(m.accounts)) {
+		a := m.accounts[name]
+		n := a.counts.minus(a.start)
+		s := AccountStatus{Account: name, Rate: a.limit.Rate, Burst: a.limit.Burst, Owner: a.owner, Share: 1,
+			Admitted: n.Admitted, Refused: n.Refused, Returned: n.Returned}
+		if share, ok := a.share(now); ok {
+			s.Share = share
+		}
+		out = append(out, s)
+	}
+	return out
+}
