connection/quota, process: accounts are limited over the fleet in the daemon

Entries keep the Meter under a lock of its own and exchange reports and pushes with the owners by POST /v1/quota on the data listener, in a tick of 100 ms that does nothing without accounts. Settings account_window, account_overage and account_slack; GET /v1/accounts and hyssopsill accounts; metrics account_refused and accounts_limited; log lines when an account reaches its limit and when it no longer does. The account of a request is a stub until admission assigns one.

In connection/quota, an entry that nobody responds to takes the part of one node, and an owner expects the demand of entries that fell silent until a push tells.

--- a/connection/quota/ledger.go
+++ b/connection/quota/ledger.go
@@ -207,9 +207,7 @@
 	lost := 0.0
 	if !l.options.noHold {
 		for _, e := range a.entries {
-			if !e.lostAt.IsZero() && now.Sub(e.lostAt) < holdTime {
-				lost += e.lostDemand
-			}
+			lost += e.missing(now)
 		}
 	}
 	if lost == 0 {
@@ -218,6 +216,26 @@
 	return min(l.reachable, a.demand.perSecond/(a.demand.perSecond+lost))
 }
 
+// missing returns the demand that may still exist at an entry although no report shows it:
+// a push did not reach the entry, or it has been silent for a time in which about three
+// requests were expected and a push will tell.
+func (e *reporter) missing(now time.Time) float64 {
+	if !e.lostAt.IsZero() {
+		if now.Sub(e.lostAt) < holdTime {
+			return e.lostDemand
+		}
+		return 0
+	}
+	if e.told == 1 || e.demand.perSecond < 1 {
+		return 0
+	}
+	silence := now.Sub(e.reportedAt) - max(250*time.Millisecond, seconds(3/e.demand.perSecond))
+	if silence > 0 && silence < PushInterval+CallTimeout {
+		return e.demand.perSecond
+	}
+	return 0
+}
+
 // update computes the share of an account.
 func (l *Ledger) update(now time.Time, a *ledgerAccount) {
 	a.demand.add(now, 0, demandTime(a.limit))
@@ -331,6 +349,9 @@
 }
 
 func (l *Ledger) drop(name string) {
+	if a := l.accounts[name]; a != nil && a.share < 1 {
+		l.options.OnChange(Change{Account: name, Share: 1, Limit: a.limit})
+	}
 	delete(l.accounts, name)
 	delete(l.throttled, name)
 }
--- a/connection/quota/meter.go
+++ b/connection/quota/meter.go
@@ -31,8 +31,9 @@
 	unreachable map[string]peerState
 	total       int64 // requests seen; new accounts begin to count here
 	nextSweep   time.Time
-	// isolatedUntil is set while no other node responds. This node counts its own accounts
-	// then.
+	// isolated is set until another node responds again. This node counts its own accounts
+	// until isolatedUntil, and then tries the others once more.
+	isolated      bool
 	isolatedUntil time.Time
 	lastResponse  time.Time // of another node
 }
@@ -79,6 +80,7 @@
 	// after which an entry takes itself for cut off. Membership takes a second per node to
 	// find that out.
 	unreachableBeforeIsolated = 4
+	maxReportAccounts         = 1000 // keeps a report below the size that owners accept
 	sweepInterval             = 10 * time.Second
 	minRetryAfter             = 100 * time.Millisecond
 )
@@ -204,11 +206,14 @@
 		if a.owner == "" {
 			continue
 		}
-		a.sent, a.sentAt = a.counts, now
+		r, ok := out[a.owner]
+		if len(r.Accounts) == maxReportAccounts {
+			continue // for the next report
+		}
 		if out == nil {
 			out = map[string]Report{}
 		}
-		r, ok := out[a.owner]
+		a.sent, a.sentAt = a.counts, now
 		if !ok {
 			r = Report{Entry: m.options.Node, Incarnation: m.options.Incarnation}
 		}
@@ -273,7 +278,7 @@
 // Acknowledge applies the response to a report.
 func (m *Meter) Acknowledge(now time.Time, owner string, r Report, v Verdicts) {
 	if owner != m.options.Node {
-		m.lastResponse = now
+		m.lastResponse, m.isolated = now, false
 		if !m.isolatedUntil.IsZero() {
 			m.isolatedUntil = time.Time{}
 			m.generation++
@@ -297,25 +302,38 @@
 func (m *Meter) ReportFailed(now time.Time, owner string) {
 	p := m.unreachable[owner]
 	p.failures++
-	if p.failures >= failuresBeforeFailover && p.until.IsZero() && !m.options.noFailover {
+	if p.until.IsZero() && p.failures >= m.failuresBeforeFailover(now) && !m.options.noFailover {
 		p.until = now.Add(unreachableTime)
 		m.generation++
 	}
 	m.unreachable[owner] = p
-	unreachable := 0
+	if m.countUnreachable() >= unreachableBeforeIsolated && now.Sub(m.lastResponse) > 2*CallTimeout && !m.options.noIsolation {
+		m.isolated, m.isolatedUntil = true, now.Add(unreachableTime)
+		m.generation++
+	}
+}
+
+// failuresBeforeFailover is 1 once a first owner is unreachable and nobody else has
+// responded: an entry that is cut off must know it before its verdict expires.
+func (m *Meter) failuresBeforeFailover(now time.Time) int {
+	if now.Sub(m.lastResponse) > 2*CallTimeout && m.countUnreachable() > 0 {
+		return 1
+	}
+	return failuresBeforeFailover
+}
+
+func (m *Meter) countUnreachable() (n int) {
 	for _, p := range m.unreachable {
 		if !p.until.IsZero() {
-			unreachable++
+			n++
 		}
 	}
-	if unreachable >= unreachableBeforeIsolated && now.Sub(m.lastResponse) > CallTimeout && !m.options.noIsolation {
-		m.isolatedUntil = now.Add(unreachableTime)
-	}
+	return n
 }
 
 // Isolated reports whether no other node responds to this entry. Its part of a limit is
 // then that of one node.
-func (m *Meter) Isolated() bool { return !m.isolatedUntil.IsZero() }
+func (m *Meter) Isolated() bool { return m.isolated }
 
 // Apply applies verdicts of an owner. The verdict of a node to which this entry does not
 // report counts only while there is none of the node to which it does.
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hyssopsill/hyssopsill/connection/health"
+	"github.com/hyssopsill/hyssopsill/connection/quota"
 	"github.com/hyssopsill/hyssopsill/connection/ratelimit"
 	"github.com/hyssopsill/hyssopsill/connection/selection"
 	"github.com/hyssopsill/hyssopsill/eventlog"
@@ -60,13 +61,20 @@
 	// OnRequestEnd is called when a request has ended, for metrics.
 	OnRequestEnd func(service, class, customer string, outcome attempt.Outcome, reason attempt.Reason, duration time.Duration)
 
+	// AccountBounds define by how much the fleet may exceed the limits of accounts. Zero:
+	// the defaults of connection/quota.
+	AccountBounds quota.Bounds
+	// OnAccountRefused is called when a request is refused for the limit of its account.
+	OnAccountRefused func()
+
 	// Quarantined reports whether this node knows that a request digest is
 	// quarantined. OnCrash receives each crash that a gate reports, so that this
 	// node knows of it before gossip delivers it.
 	Quarantined func(poison.Request) bool
 	OnCrash     func(poison.Reports)
 
-	noVerify bool // for tests: responses of gates are not verified
+	accountOf func(*http.Request) string // for tests: the account of a request
+	noVerify  bool                       // for tests: responses of gates are not verified
 }
 
 // Entry serves requests of callers. It is safe for concurrent use.
@@ -79,6 +87,7 @@
 	routing        atomic.Pointer[routing]
 	fleet          atomic.Pointer[fleet]
 	bindings       *bindings
+	accountQuota   *accountQuota
 	sequence       atomic.Uint64
 	activeRequests atomic.Int64
 	draining       atomic.Bool
@@ -135,6 +144,9 @@
 	if o.OnFailedRequest == nil {
 		o.OnFailedRequest = func() {}
 	}
+	if o.OnAccountRefused == nil {
+		o.OnAccountRefused = func() {}
+	}
 	if o.Quarantined == nil {
 		o.Quarantined = func(poison.Request) bool { return false }
 	}
@@ -161,6 +173,7 @@
 		targetRates:    map[string]targetRate{},
 		leaving:        leavingTargets{},
 	}
+	e.accountQuota = newAccountQuota(e)
 	e.bindings = newBindings(e, order.Owner{Node: o.Node})
 	e.stopping, e.cancelWaiting = context.WithCancel(context.Background())
 	e.fleet.Store(newFleet(membership.View{}, nil))
@@ -172,6 +185,7 @@
 // not change after that.
 func (e *Entry) Start(incarnation attempt.Incarnation) {
 	e.bindings.reset(order.Owner{Node: e.options.Node, Incarnation: incarnation})
+	e.accountQuota.start(incarnation)
 	suffix := "/" + e.options.Node + "/" + incarnation.String()
 	e.attemptSuffix.Store(&suffix)
 }
--- a/process/entry/request.go
+++ b/process/entry/request.go
@@ -42,6 +42,8 @@
 	class          config.Class
 	long           bool
 	customer       string
+	account        string // account whose limit applies; empty: none
+	quotaCharged   bool   // checkAccountQuota admitted the request
 	orderKey       order.Key
 	record         record.Request
 
@@ -101,6 +103,7 @@
 
 // recordEnd counts the ended request and writes its record.
 func (q *request) recordEnd() {
+	q.returnAccountQuota()
 	duration := q.entry.now().Sub(q.start)
 	q.record.DurationMS = float64(duration) / float64(time.Millisecond)
 	if q.record.Status >= http.StatusBadRequest {
@@ -128,6 +131,10 @@
 		q.refuse(attempt.NotRun, attempt.ReasonLeaving, "this node stops before the deadline of the request", wait)
 		return
 	}
+	q.assignAccount()
+	if !q.checkAccountQuota() {
+		return
+	}
 	if !q.checkLimits() {
 		return
 	}
@@ -236,6 +243,13 @@
 	return nil
 }
 
+// assignAccount is a stub: requests belong to no account until admission assigns one.
+func (q *request) assignAccount() {
+	if q.entry.options.accountOf != nil {
+		q.account = q.entry.options.accountOf(q.callerRequest)
+	}
+}
+
 // checkLimits applies the limits of the service and the customer. It refuses the
 // request and reports false when one is reached.
 func (q *request) checkLimits() bool {
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -64,6 +65,7 @@
 	peerMux    *http.ServeMux // requests of other nodes, except attempts
 	workQueued chan struct{}  // signalled when work is queued; nothing receives it
 	probes     singleflight.Group
+	quota      atomic.Pointer[PeerQuota]
 
 	mu                sync.Mutex
 	rand              *rand.Rand
--- a/process/gate/peer.go
+++ b/process/gate/peer.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"time"
 
+	"github.com/hyssopsill/hyssopsill/connection/quota"
 	"github.com/hyssopsill/hyssopsill/process/roundtrip"
 	"github.com/hyssopsill/hyssopsill/request/attempt"
 	"github.com/hyssopsill/hyssopsill/request/order"
@@ -23,6 +25,20 @@
 	probeResultTTL = time.Second
 )
 
+// PeerQuota answers the messages about rate limits of accounts that other nodes send.
+// Report is called at an owner, Push at an entry.
+type PeerQuota struct {
+	Report func(quota.Report) quota.Verdicts
+	Push   func(quota.Verdicts)
+}
+
+// QuotaMessage is the body of POST /v1/quota: a report of an entry to an owner or a push
+// of an owner to an entry. The response holds the verdicts for a report.
+type QuotaMessage struct {
+	Report *quota.Report   `json:"report,omitempty"`
+	Push   *quota.Verdicts `json:"push,omitempty"`
+}
+
 // StatusRequest is the body of a status query.
 type StatusRequest struct {
 	Attempts []string `json:"attempts"`
@@ -97,6 +113,7 @@
 	mux.HandleFunc("POST /v1/withdraw", g.serveWithdraw)
 	mux.HandleFunc("POST /v1/status", g.serveStatus)
 	mux.HandleFunc("GET /v1/probe", g.serveProbe)
+	mux.HandleFunc("POST /v1/quota", g.serveQuota)
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		attempt.NewProblem("", attempt.NotRun, attempt.ReasonBadRequest,
 			fmt.Sprintf("%s: header %s is missing", r.URL.Path, attempt.HeaderAttempt), 0).Write(w)
@@ -180,6 +197,28 @@
 	writeJSON(w, http.StatusOK, response)
 }
 
+// serveQuota passes a message about accounts to the entry of this node, which owns the
+// counts. The caller has the fleet token.
+func (g *Gate) serveQuota(w http.ResponseWriter, r *http.Request) {
+	var message QuotaMessage
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxPeerBodyBytes)).Decode(&message)
+	handlers := g.quota.Load()
+	switch {
+	case err != nil:
+		peerProblem(w, r, err)
+	case handlers == nil || (message.Report == nil) == (message.Push == nil):
+		peerProblem(w, r, errors.New("want either a report or a push"))
+	case message.Report != nil:
+		writeJSON(w, http.StatusOK, handlers.Report(*message.Report))
+	default:
+		handlers.Push(*message.Push)
+		writeJSON(w, http.StatusOK, quota.Verdicts{Owner: g.options.Node})
+	}
+}
+
+// SetQuota sets the functions that answer messages about rate limits of accounts.
+func (g *Gate) SetQuota(q PeerQuota) { g.quota.Store(&q) }
+
 // runningSince counts the other exchanges with the target of e that have run for at
 // least d. The caller holds g.mu.
 func (g *Gate) runningSince(e *exchange, d time.Duration) int {
--- a/process/node/admin.go
+++ b/process/node/admin.go
@@ -20,6 +20,9 @@
 	mux.HandleFunc("GET /v1/targets", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, n.entry.Targets())
 	})
+	mux.HandleFunc("GET /v1/accounts", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, n.entry.Accounts())
+	})
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, n.status()) })
 	mux.HandleFunc("POST /v1/drain", func(w http.ResponseWriter, _ *http.Request) {
 		n.Drain()
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 	"github.com/thejerf/suture/v4"
 
+	"github.com/hyssopsill/hyssopsill/connection/quota"
 	"github.com/hyssopsill/hyssopsill/eventlog"
 	"github.com/hyssopsill/hyssopsill/process/control"
 	"github.com/hyssopsill/hyssopsill/process/control/controlpb"
@@ -158,8 +159,11 @@
 		Now: n.now, Rand: newRand(), Log: n.log, Reporter: n.metrics.Invariants, LogService: n.options.LogService,
 		Record: n.record, OnRequestEnd: n.metrics.ObserveRequest, Quarantined: n.gate.Quarantined,
 		HostRetryShare: n.gate.RetryShare, OnCalledRoom: n.gate.NoteCalledRoom, OnFailedRequest: n.gate.NoteFailedCall,
-		OnCrash: n.gate.MergePoison,
+		OnCrash: n.gate.MergePoison, OnAccountRefused: func() { n.metrics.Add("account_refused", 1) },
+		AccountBounds: quota.Bounds{Window: s.Defaults.AccountWindow, Overage: s.Defaults.AccountOverage, Slack: s.Defaults.AccountSlack},
 	})
+	n.gate.SetQuota(n.entry.PeerQuota())
+	n.metrics.Set("accounts_limited", expvar.Func(func() any { return n.entry.ThrottledAccounts() }))
 	n.metrics.Set("gate_running", expvar.Func(func() any { return n.gate.Running() }))
 	n.metrics.Set("gate_orders", expvar.Func(func() any { return n.gate.Usage() }))
 	n.metrics.Set("entry_active", expvar.Func(func() any { return n.entry.Active() }))
@@ -174,6 +178,7 @@
 	}})
 	n.supervisor.Add(service{"gate", n.gate.Serve})
 	n.supervisor.Add(service{"entry", n.entry.Serve})
+	n.supervisor.Add(service{"account limits", n.entry.ServeQuota})
 	if n.options.HTTPProfile.OrderKey != "" {
 		n.supervisor.Add(service{"order bindings", n.entry.ServeBindings})
 	}
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -26,6 +26,9 @@
 	DefaultRetryShare        = 0.1
 	DefaultRetryWindow       = 10 * time.Second
 	DefaultQueuePerSlot      = 4
+	DefaultAccountWindow     = 5 * time.Second
+	DefaultAccountOverage    = 0.1
+	DefaultAccountSlack      = 20.0
 	// DefaultDrainNotice is below the 3 s within which a leaving node stops
 	// receiving new work.
 	DefaultDrainNotice = time.Second
@@ -87,6 +90,12 @@
 	AdditionalRetries float64 `toml:"retry_slack"`
 	// RetryWindow is the time window of the retry budget. Default 10s.
 	RetryWindow time.Duration `toml:"retry_window"`
+	// AccountWindow, AccountOverage and AccountSlack define by how much the fleet may exceed
+	// the limit of an account: in each window at most (rate × AccountWindow + burst) ×
+	// (1 + AccountOverage) + AccountSlack requests run. Defaults 5s, 0.1 and 20.
+	AccountWindow  time.Duration `toml:"account_window"`
+	AccountOverage float64       `toml:"account_overage"`
+	AccountSlack   float64       `toml:"account_slack"`
 }
 
 // Listen holds the addresses of the listeners, host:port. Port 0 picks a free
@@ -162,6 +171,9 @@
 	setDefault(&s.Defaults.RetryShare, DefaultRetryShare)
 	setDefault(&s.Defaults.RetryWindow, DefaultRetryWindow)
 	setDefault(&s.Defaults.QueuePerSlot, DefaultQueuePerSlot)
+	setDefault(&s.Defaults.AccountWindow, DefaultAccountWindow)
+	setDefault(&s.Defaults.AccountOverage, DefaultAccountOverage)
+	setDefault(&s.Defaults.AccountSlack, DefaultAccountSlack)
 	setDefault(&s.Limits.HeaderBytes, DefaultHeaderBytes)
 	setDefault(&s.Limits.BodyBytes, DefaultBodyBytes)
 	setDefault(&s.Limits.ReadHeaderTimeout, DefaultReadHeaderTimeout)
@@ -227,6 +239,15 @@
 	if d.RetryWindow < time.Second {
 		doc.Add("defaults.retry_window", "want 1s or more, got %s", d.RetryWindow)
 	}
+	if d.AccountWindow < time.Second {
+		doc.Add("defaults.account_window", "want 1s or more, got %s", d.AccountWindow)
+	}
+	if !(d.AccountOverage >= 0) || math.IsInf(d.AccountOverage, 0) {
+		doc.Add("defaults.account_overage", "want 0 or more, got %v", d.AccountOverage)
+	}
+	if !(d.AccountSlack >= 0) || math.IsInf(d.AccountSlack, 0) {
+		doc.Add("defaults.account_slack", "want 0 or more, got %v", d.AccountSlack)
+	}
 }
 
 func validateAddresses(doc *finding.Document, s Settings) {
--- a/process/settings/template.go
+++ b/process/settings/template.go
@@ -79,4 +79,9 @@
 retry_slack = 0.0
 # Time window of the retry budget.
 retry_window = "10s"
+# Limits of accounts: in each window at most (rate x window + burst) x (1 + overage) + slack requests of an account run,
+# over all nodes together.
+account_window = "5s"
+account_overage = 0.1
+account_slack = 20.0
 `
