process/entry: the test of credited requests sends at a bounded rate

TestAccountLimitOfRequests sent 200 requests as fast as it could and expected no refusal; with the race detector it failed, because the owner expects 2,000 requests/s of an account of 20/s to exceed the burst before they are credited. It now sends 2.5 times the limit and checks the counts as well.

--- a/process/entry/account_quota_test.go
+++ b/process/entry/account_quota_test.go
@@ -110,7 +110,10 @@
 // applies to accounts without a limit. The limit itself gives 429 and a time to return.
 func TestAccountLimitOfRequests(t *testing.T) {
 	e := newQuotaFleet(t, 1)[0]
-	for range 200 {
+	// 50 requests/s are 2.5 times the limit, and few enough that the owner does not expect
+	// them to exceed the burst before its next verdict.
+	for range 100 {
+		time.Sleep(20 * time.Millisecond)
 		if code := serveAccount(e, "atelier", "/kits/a"); code == http.StatusTooManyRequests {
 			t.Fatal("requests that end as not-run use up the limit")
 		}
@@ -118,6 +121,9 @@
 			t.Fatal("an account without a limit is refused")
 		}
 	}
+	if s := e.Accounts().Entry; len(s) != 1 || s[0].Admitted != 100 || s[0].Returned != 100 {
+		t.Errorf("counts of accounts with a limit: %+v, want 100 requests admitted and returned", s)
+	}
 	e.accountQuota.meterMu.Lock()
 	for range 200 {
 		e.accountQuota.meter.Allow(time.Now(), "atelier", quota.Limit{Rate: 20, Burst: 20})
