--- a/process/entry/account.go
+++ b/process/entry/account.go
@@ -30,7 +30,3 @@
 	}
 	return decision.Admitted
 }
-
-// checkAccountQuota applies the rate limit of the account over the whole fleet. No limit
-// is in force yet, so it admits every request.
-func (q *request) checkAccountQuota() bool { return true }
--- a/process/entry/request.go
+++ b/process/entry/request.go
@@ -44,6 +44,7 @@
 	long           bool
 	customer       string
 	account        *account.Account // nil: none
+	quotaCharged   bool             // checkAccountQuota admitted the request
 	orderKey       order.Key
 	record         record.Request
 
@@ -103,6 +104,7 @@
 
 // recordEnd counts the ended request and writes its record.
 func (q *request) recordEnd() {
+	q.returnAccountQuota()
 	duration := q.entry.now().Sub(q.start)
 	q.record.DurationMS = float64(duration) / float64(time.Millisecond)
 	if q.record.Status >= http.StatusBadRequest {
--- a/process/settings/template.go
+++ b/process/settings/template.go
@@ -81,4 +81,9 @@
 retry_window = "10s"
 # Pass on known loads of targets between nodes, in the responses of gates.
 share_loads = false
+# Limits of accounts: in each window at most (rate x window + burst) x (1 + overage) + slack requests of an account run,
+# over all nodes together.
+account_window = "5s"
+account_overage = 0.1
+account_slack = 20.0
 `
