--- a/process/gate/exchange.go
+++ b/process/gate/exchange.go
@@ -479,13 +479,12 @@
 	}
 }
 
-// setLoads adds the loads of other targets of the service. The entry of this node knows
-// them already.
+// setLoads adds the loads of other targets of the service.
 func (e *exchange) setLoads(h http.Header, service string, load attempt.Load) {
 	if e.gate.options.LoadsFor == nil || service == "" {
 		return
 	}
-	if loads := e.gate.options.LoadsFor(service, e.targetID, load); loads != "" && e.id.Entry != e.gate.options.Node {
+	if loads := e.gate.options.LoadsFor(e.id.Entry, service, e.targetID, load); loads != "" {
 		h[attempt.HeaderLoads] = []string{loads}
 	}
 }
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -51,8 +51,8 @@
 	// OnPoisonChanges is called with the changes that the poison tracker reports.
 	OnPoisonChanges func([]poison.Change)
 	// LoadsFor, if set, takes note of the load of a target of this gate and returns the
-	// value of attempt.HeaderLoads for a response, or "".
-	LoadsFor func(service, target string, load attempt.Load) string
+	// value of attempt.HeaderLoads for a response to the entry of a node, or "".
+	LoadsFor func(node, service, target string, load attempt.Load) string
 
 	skipVerification bool // for tests: forward responses of targets unverified
 }
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -145,9 +145,11 @@
 
 func (n *Node) buildRoles() {
 	s := n.options.Settings
-	var loadsFor func(service, target string, load attempt.Load) string
+	var loadsFor func(node, service, target string, load attempt.Load) string
 	if s.Defaults.ShareLoads {
-		loadsFor = func(service, target string, load attempt.Load) string { return n.entry.LoadsFor(service, target, load) }
+		loadsFor = func(node, service, target string, load attempt.Load) string {
+			return n.entry.LoadsFor(node, service, target, load)
+		}
 	}
 	n.gate = gate.New(gate.Options{
 		Node: s.Node, Token: s.FleetToken, HeaderBytes: int64(s.Limits.HeaderBytes), HTTPProfile: n.options.HTTPProfile, QueuePerSlot: s.Defaults.QueuePerSlot,
