cmd/hyssopsill: command where

Explains where each node would send a request now, without sending it: route, version, class, candidates with what is known of them and how old it is, the choice and its reason. Operators could see only where past requests went. TestWhereSendsNothing shows that it counts as no request.

--- a/cmd/hyssopsill/command_test.go
+++ b/cmd/hyssopsill/command_test.go
@@ -154,6 +154,10 @@
 		f.expect(t, "hyssopsill "+line, exitBadInput)
 	}
 	f.expect(t, "hyssopsill targets --node http://127.0.0.1:1", exitFailed, "no node responded")
+	f.expect(t, "hyssopsill where POST /orders/7 --account school"+nodeFlags, exitOK, "chosen: orders-5 at n2, own failure domain", "0.40 ±0.10", "250 ms",
+		"account school is not in the configuration")
+	f.expect(t, "hyssopsill where GET /other"+nodeFlags, exitOK, "no target: no route for GET /other")
+	f.expect(t, "hyssopsill where GET"+nodeFlags, exitBadInput)
 }
 
 // Guards against commands whose JSON output is missing or invalid.
--- a/cmd/hyssopsill/fixture_test.go
+++ b/cmd/hyssopsill/fixture_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/hyssopsill/hyssopsill/eventlog"
+	"github.com/hyssopsill/hyssopsill/process/entry"
 	"github.com/hyssopsill/hyssopsill/process/telemetry"
 	"github.com/hyssopsill/hyssopsill/request/attempt"
 	"github.com/hyssopsill/hyssopsill/request/record"
@@ -64,6 +65,15 @@
 				{ID: "orders-5", Service: "orders", Node: "n2", Domain: "b", Slots: 6, InSubset: true, Weight: 1},
 			})
 		})
+		mux.HandleFunc("GET /v1/where", func(w http.ResponseWriter, r *http.Request) {
+			q := r.URL.Query()
+			d := entry.Destination{Node: node, ConfigVersion: 1, Account: q.Get("account"), Why: "no route for " + q.Get("method") + " " + q.Get("path")}
+			if q.Get("path") == "/orders/7" {
+				d.Route, d.Service, d.Class, d.Choice, d.ChoiceNode, d.Why = "orders", "orders", "place", "orders-5", "n2", "own failure domain"
+				d.Candidates = []entry.DestinationCandidate{{Target: "orders-5", Node: "n2", Domain: "b", Own: 1, Load: 0.4, Deviation: 0.1, AgeMS: 250, Weight: 1}}
+			}
+			_ = json.NewEncoder(w).Encode(d)
+		})
 		f.urls = append(f.urls, startServer(t, mux))
 	}
 	f.recordIncident(t)
--- a/cmd/hyssopsill/root.go
+++ b/cmd/hyssopsill/root.go
@@ -43,7 +43,7 @@
 // commands lists the constructors of the commands in the order of the help text. A
 // constructor may return nil to leave its command out.
 var commands = []func(*app) *cli.Command{
-	configCommand, questionnaireCommand, targetsCommand, explainCommand, reportCommand, demoCommand, benchCommand, soakCommand,
+	configCommand, questionnaireCommand, targetsCommand, whereCommand, explainCommand, reportCommand, demoCommand, benchCommand, soakCommand,
 }
 
 // run executes one command line and returns the exit code.
--- a/process/entry/loads_test.go
+++ b/process/entry/loads_test.go
@@ -11,6 +11,7 @@
 	"github.com/hyssopsill/hyssopsill/connection/loadview"
 	"github.com/hyssopsill/hyssopsill/request/attempt"
 	"github.com/hyssopsill/hyssopsill/request/invariant"
+	"github.com/hyssopsill/hyssopsill/version/config"
 	"github.com/hyssopsill/hyssopsill/version/membership"
 )
 
@@ -65,3 +66,35 @@
 		t.Errorf("not shared: %+v", counts)
 	}
 }
+
+// Guards against an explanation that counts as a request or names another target than the one
+// that a request would get.
+func TestWhereSendsNothing(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	e := New(Options{Node: "n1", Domain: "d1", Now: func() time.Time { return now }, Rand: rand.New(rand.NewPCG(1, 1)), Log: zerolog.Nop(),
+		Reporter: invariant.PanicReporter{}, ShareLoads: true})
+	t.Cleanup(e.Close)
+	if d := e.Where("GET", "", "/kits/a", ""); d.Choice != "" || d.Why == "" {
+		t.Errorf("without a configuration: %+v", d)
+	}
+	rank := 3
+	e.SetConfig(&config.Config{Version: 7, Accounts: map[string]config.Account{"school": {Rank: &rank}},
+		Services: map[string]config.Service{"shop": {Classes: map[string]config.Class{"browse": {}}}},
+		Routes:   []config.Route{{ID: "kits", PathPrefix: "/kits", Service: "shop", Class: "browse"}}})
+	e.SetView(membership.View{Self: "n1", Members: []membership.Member{{Node: "n1", Domain: "d1", State: membership.NodeAlive,
+		Targets: []membership.Target{{ID: "t1", Service: "shop", Slots: 4}}}}})
+	e.LoadsFor("n1", "shop", "t1", attempt.Load{Slots: 4, Limit: 4, Running: 2})
+	now = now.Add(40 * time.Millisecond)
+	for range 3 {
+		d := e.Where("GET", "", "/kits/a?b=c", "school")
+		if d.Route != "kits" || d.ConfigVersion != 7 || d.Class != "browse" || d.Choice != "t1" || d.ChoiceNode != "n1" || !d.AccountKnown || *d.AccountRank != 3 {
+			t.Errorf("%+v", d)
+		}
+		if len(d.Candidates) != 1 || d.Candidates[0].AgeMS != 40 || d.Candidates[0].Own != 0 || d.Candidates[0].Load != 0.5 {
+			t.Errorf("%+v", d.Candidates)
+		}
+	}
+	if d := e.Where("GET", "", "/other", ""); d.Choice != "" || d.Why != "no route for GET /other" {
+		t.Errorf("%+v", d)
+	}
+}
--- a/process/node/admin.go
+++ b/process/node/admin.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"net/http/pprof"
@@ -20,6 +21,10 @@
 	mux.HandleFunc("GET /v1/targets", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, n.entry.Targets())
 	})
+	mux.HandleFunc("GET /v1/where", func(w http.ResponseWriter, r *http.Request) {
+		q := r.URL.Query()
+		writeJSON(w, http.StatusOK, n.entry.Where(cmp.Or(q.Get("method"), http.MethodGet), q.Get("host"), q.Get("path"), q.Get("account")))
+	})
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, n.status()) })
 	mux.HandleFunc("POST /v1/drain", func(w http.ResponseWriter, _ *http.Request) {
 		n.Drain()
