process/node: a test of shared loads between nodes

Four nodes on loopback, three of them in one failure domain: with share_loads those three take loads over, the fourth gets none, and without the setting none is sent.

--- a/process/node/node_test.go
+++ b/process/node/node_test.go
@@ -49,11 +49,17 @@
 }
 
 func startTestNode(t *testing.T, name, domain string, log eventlog.Store) *testNode {
+	t.Helper()
+	return startTestNodeWith(t, name, domain, log, settings.Defaults{})
+}
+
+func startTestNodeWith(t *testing.T, name, domain string, log eventlog.Store, defaults settings.Defaults) *testNode {
 	t.Helper()
 	any := "127.0.0.1:0"
 	s := settings.Settings{Node: name, Domain: domain, FleetToken: "token-of-the-test", LogURL: "http://127.0.0.1:1",
-		Listen: settings.Listen{Caller: any, PeerData: any, PeerControl: any, Announce: any, Admin: any},
-		Limits: settings.Limits{HeaderBytes: 32 << 10, BodyBytes: 1 << 20, ReadHeaderTimeout: time.Second, IdleTimeout: time.Minute, Connections: 1000}}
+		Defaults: defaults,
+		Listen:   settings.Listen{Caller: any, PeerData: any, PeerControl: any, Announce: any, Admin: any},
+		Limits:   settings.Limits{HeaderBytes: 32 << 10, BodyBytes: 1 << 20, ReadHeaderTimeout: time.Second, IdleTimeout: time.Minute, Connections: 1000}}
 	n, err := New(Options{Settings: s, Log: zerolog.Nop(), LogService: log, PanicOnViolation: true})
 	if err != nil {
 		t.Fatal(err)
@@ -206,3 +212,39 @@
 		}
 	}
 }
+
+// Guards against loads that do not reach other nodes with share_loads, that reach them from
+// another failure domain, or that are sent while the setting is off.
+func TestNodesShareLoads(t *testing.T) {
+	for _, share := range []bool{true, false} {
+		t.Run(fmt.Sprint("share_loads=", share), func(t *testing.T) {
+			log := logservice.New(logservice.Options{})
+			publishConfig(t, log, testConfig)
+			var nodes []*testNode
+			for i, domain := range []string{"d1", "d1", "d1", "d2"} {
+				node := startTestNodeWith(t, fmt.Sprint("n", i+1), domain, log, settings.Defaults{ShareLoads: share})
+				nodes = append(nodes, node)
+				startTarget(t, node, fmt.Sprint("t", i+1))
+			}
+			eventually(t, "all nodes know all targets", func() bool {
+				for _, node := range nodes {
+					if ok, _ := node.ready(); !ok || len(node.entry.Targets()) != len(nodes) {
+						return false
+					}
+				}
+				return true
+			})
+			for i := range 120 {
+				if status, _, body := get(nodes[i%len(nodes)], "/kits/a"); status != http.StatusOK {
+					t.Fatalf("status %d: %s", status, body)
+				}
+			}
+			for i, node := range nodes {
+				counts := node.entry.LoadCounts()
+				if counts.Bad != 0 || counts.Unknown != 0 || (counts.Fresher+counts.NotFresher > 0) != (share && i < 3) {
+					t.Errorf("%s: %+v", node.options.Settings.Node, counts)
+				}
+			}
+		})
+	}
+}
