process/node, settings: one memory budget for the connections of a process

Cause: clients that send thousands of short header lines, that read no response, or that hold all connections of a listener took the memory of the process, or left ordinary callers without an answer. Change: - All HTTP listeners count heads (with 256 bytes for a line), bodies and responses against half of [limits] memory (64 MiB when the host's memory is not known). A head that finds no room gets 503 before it is parsed, else the connection closes. - debug.SetMemoryLimit is three quarters of [limits] memory. - [limits] write_timeout (5s) ends a response of which the client reads nothing. - While a listener has no free connection, the one that waits longest for a request is closed, and a response now and then closes its connection. The clients and the bounds are as before; the settings of the test got the key memory. go test -race of process/node, process/settings, process/telemetry and connection/membudget passes.

--- a/cmd/hyssopsilld/main.go
+++ b/cmd/hyssopsilld/main.go
@@ -127,6 +127,9 @@
 	if err != nil {
 		return err
 	}
+	if limit := s.Limits.RuntimeMemory(); limit > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(limit)
+	}
 	level, err := zerolog.ParseLevel(s.LogLevel)
 	if err != nil {
 		return err
--- a/cmd/hyssopsilld/untrusted_test.go
+++ b/cmd/hyssopsilld/untrusted_test.go
@@ -70,7 +70,8 @@
 metrics = %q
 [limits]
 connections = %d
-`, fleetToken, f.logURL, metrics, untrustedConnections))
+memory = "%dKiB"
+`, fleetToken, f.logURL, metrics, untrustedConnections, untrustedHostKiB))
 	n.process = startProcess(t, n.name, "hyssopsilld", "run", "--settings", n.file)
 	for key, address := range map[string]*string{"caller": &n.caller, "peer_data": &n.data, "peer_control": &n.control,
 		"announce": &n.announce, "admin": &n.admin} {
--- a/process/node/listen.go
+++ b/process/node/listen.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"fmt"
@@ -14,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/hyssopsill/hyssopsill/connection/membudget"
 	"github.com/hyssopsill/hyssopsill/process/settings"
 )
 
@@ -23,7 +25,7 @@
 	metrics                                        *limitedListener // nil when the settings give no address
 }
 
-func (l *listeners) open(s settings.Settings, logger zerolog.Logger) error {
+func (l *listeners) open(s settings.Settings, m *memory, logger zerolog.Logger) error {
 	for _, spec := range []struct {
 		name, address string
 		to            **limitedListener
@@ -43,7 +45,11 @@
 			l.close()
 			return fmt.Errorf("node: listener %s: %w", spec.name, err)
 		}
-		*spec.to = limitConnections(spec.name, listener, s.Limits.Connections, logger)
+		limited := limitConnections(spec.name, listener, s.Limits.Connections, logger)
+		if spec.name != "peer_control" { // not HTTP; its server has its own bounds
+			limited.memory, limited.writeTimeout = m, s.Limits.WriteTimeout
+		}
+		*spec.to = limited
 	}
 	return nil
 }
@@ -81,20 +87,76 @@
 	slots     chan struct{}
 	closed    chan struct{}
 	closeOnce sync.Once
+
+	memory       *memory       // nil: no bound
+	writeTimeout time.Duration // 0: no bound
+	// closeWaiting closes the connection that has waited for a request for the longest
+	// time, unless that is less than headerWait. It may be nil.
+	closeWaiting func()
+	// closeNext makes one more response close its connection.
+	closeNext atomic.Bool
 }
 
 func (l *limitedListener) Accept() (net.Conn, error) {
+	for {
+		if !l.takeSlot() {
+			return nil, net.ErrClosed
+		}
+		conn, err := l.acceptRetrying()
+		if err != nil {
+			<-l.slots
+			return nil, err
+		}
+		c := &limitedConn{Conn: conn, release: func() { <-l.slots }, headerSince: time.Now(), memory: l.memory, writeTimeout: l.writeTimeout}
+		c.holder.Value = c
+		if l.memory == nil {
+			return c, nil
+		}
+		if !l.memory.update(c, connectionBytes, true) {
+			_ = c.Close() // nothing was read from it
+			continue
+		}
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetWriteBuffer(sendBufferBytes) // fails only if the connection is closed
+		}
+		return c, nil
+	}
+}
+
+const (
+	// slotRetry is the time between two attempts to free a slot by closing a
+	// connection that waits for a request.
+	slotRetry = 20 * time.Millisecond
+	// closeNextEvery is the number of such attempts between two responses that close
+	// their connection, as a request may run for seconds before its response.
+	closeNextEvery = 5
+)
+
+// takeSlot waits for a slot of a connection. While all are taken, it closes waiting
+// connections and lets responses close theirs, so that neither clients which send
+// nothing nor clients which send requests without a pause occupy the listener.
+func (l *limitedListener) takeSlot() bool {
 	select {
 	case l.slots <- struct{}{}:
-	case <-l.closed:
-		return nil, net.ErrClosed
+		return true
+	default:
 	}
-	conn, err := l.acceptRetrying()
-	if err != nil {
-		<-l.slots
-		return nil, err
+	defer l.closeNext.Store(false)
+	for attempts := 0; ; attempts++ {
+		if l.closeWaiting != nil {
+			l.closeWaiting()
+		}
+		if attempts%closeNextEvery == 0 {
+			l.closeNext.Store(true)
+		}
+		select {
+		case l.slots <- struct{}{}:
+			return true
+		case <-l.closed:
+			return false
+		case <-time.After(slotRetry):
+		}
 	}
-	return &limitedConn{Conn: conn, release: func() { <-l.slots }, headerSince: time.Now()}, nil
 }
 
 // acceptRetrying accepts a connection. It fails only when the listener is closed.
@@ -139,6 +201,16 @@
 	phase        connPhase
 	headerSince  time.Time // in phaseHeader: when it began
 	readsExpired bool      // reads fail until one has returned a byte
+
+	memory        *memory
+	holder        membudget.Holder
+	charge        connCharge
+	writeTimeout  time.Duration // within which the client must read something of a response
+	writeDeadline time.Time     // set by the handler
+
+	// The lock of the service protects these.
+	waiting      *list.Element // in the service's list of connections without a request
+	waitingSince time.Time
 }
 
 // connPhase is what a connection of an HTTP server does.
@@ -151,31 +223,62 @@
 )
 
 func (c *limitedConn) Close() error {
-	c.releaseOnce.Do(c.release)
+	c.releaseOnce.Do(func() {
+		c.memory.release(c)
+		c.release()
+	})
 	return c.Conn.Close()
 }
 
 func (c *limitedConn) Read(p []byte) (int, error) {
+	readsBody := c.beforeRead(len(p))
 	n, err := c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.expired() {
 		// A deadline in the past hides bytes that have arrived already.
 		_ = c.Conn.SetReadDeadline(time.Now().Add(time.Millisecond)) // fails only if the connection is closed
 		n, err = c.Conn.Read(p)
 	}
-	if n > 0 {
-		c.noteBytes(time.Now())
+	if n > 0 || readsBody {
+		if inHead, ok := c.noteBytes(time.Now(), p[:n], len(p), readsBody); !ok {
+			return 0, c.refuseRead(inHead)
+		}
 	}
 	return n, err
 }
 
-// noteBytes notes that bytes were read.
-func (c *limitedConn) noteBytes(now time.Time) {
+// beforeRead reports whether a read waits for the body of a request. Meanwhile the
+// connection may be closed to make room. Between requests, and with a buffer of one
+// byte, the server only learns whether the client has closed the connection.
+func (c *limitedConn) beforeRead(size int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.memory == nil || c.phase != phaseRequest || size <= 1 {
+		return false
+	}
+	c.memory.update(c, c.charge.total(), true) // the charge does not grow
+	return true
+}
+
+// noteBytes notes the bytes of a read. It reports whether they belong to a head, and
+// false when the memory for them is refused.
+func (c *limitedConn) noteBytes(now time.Time, p []byte, size int, readsBody bool) (inHead, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == phaseIdle {
+	first := c.phase == phaseIdle
+	if first && len(p) > 0 {
 		c.phase, c.headerSince = phaseHeader, now
 	}
-	c.allowReads()
+	if len(p) > 0 {
+		c.allowReads()
+	}
+	if c.memory == nil {
+		return false, true
+	}
+	inHead = c.phase != phaseRequest
+	if changed := c.charge.noteRead(p, size, inHead, first); changed || readsBody {
+		return inHead, c.memory.update(c, c.charge.total(), inHead)
+	}
+	return inHead, true
 }
 
 // allowReads takes back expireReads. The caller holds c.mu.
@@ -206,6 +309,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = phaseIdle
+	c.charge.endRequest()
+	c.memory.update(c, c.charge.total(), true) // the charge does not grow
 }
 
 // setRequest notes that the header of a request is complete. The request may have come
@@ -215,10 +320,12 @@
 	defer c.mu.Unlock()
 	c.phase = phaseRequest
 	c.allowReads()
+	c.memory.update(c, c.charge.total(), false) // the charge does not grow
 }
 
 // headerWait is how long a new connection may stay without a request, or a header
-// incomplete, once the server shuts down. Callers send a header within milliseconds.
+// incomplete, once the server shuts down or all connections of the listener are
+// taken. Callers send a header within milliseconds.
 const headerWait = time.Second
 
 // expireReads makes the server close the connection unless a request runs or is on its
@@ -242,6 +349,7 @@
 
 	mu          sync.Mutex
 	connections map[*limitedConn]struct{}
+	waiting     list.List // connections without a request, the one that waits longest first
 }
 
 func newHTTPService(name string, l *limitedListener, h http.Handler, limits settings.Limits, logger zerolog.Logger) *httpService {
@@ -254,13 +362,45 @@
 		ErrorLog:          log.New(logWriter{logger, name}, "", 0),
 		ConnState:         s.observeState,
 	}
+	l.closeWaiting = s.closeWaiting
 	return s
 }
 
-// closeDuringShutdown makes responses close their connection during a shutdown.
+// closeWaiting closes the connection that has waited for a complete head for the
+// longest time.
+func (s *httpService) closeWaiting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if first := s.waiting.Front(); first != nil {
+		c := first.Value.(*limitedConn)
+		if time.Since(c.waitingSince) < headerWait {
+			return // its request may be on its way
+		}
+		s.setWaiting(c, false)
+		_ = c.Conn.Close() // its server may have closed it
+		if c.memory != nil {
+			c.memory.replaced.Add(1)
+		}
+	}
+}
+
+// setWaiting puts a connection at the end of the list of those that wait for a
+// request, or takes it out. The caller holds s.mu.
+func (s *httpService) setWaiting(c *limitedConn, waits bool) {
+	if c.waiting != nil {
+		s.waiting.Remove(c.waiting)
+		c.waiting = nil
+	}
+	if waits {
+		c.waiting, c.waitingSince = s.waiting.PushBack(c), time.Now()
+	}
+}
+
+// closeDuringShutdown makes responses close their connection during a shutdown, and
+// where the listener asks for it.
 func (s *httpService) closeDuringShutdown(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.closing.Load() {
+		if s.closing.Load() || (s.listener.closeNext.Load() && s.listener.closeNext.CompareAndSwap(true, false)) {
 			w.Header()["Connection"] = []string{"close"}
 		}
 		h.ServeHTTP(w, r)
@@ -275,6 +415,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setWaiting(c, state == http.StateNew || state == http.StateIdle)
 	switch state {
 	case http.StateNew:
 		s.connections[c] = struct{}{}
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -58,6 +58,7 @@
 	now          func() time.Time
 	log          zerolog.Logger
 	listeners    listeners
+	memory       *memory // of the connections of all listeners
 	metrics      *telemetry.Metrics
 	ring         *record.Ring
 	exporter     *telemetry.Exporter
@@ -94,8 +95,8 @@
 	if o.AnnounceHandler == nil {
 		o.AnnounceHandler = (*gate.Gate).AnnounceHandler
 	}
-	node := &Node{options: o, now: o.Now, log: o.Log}
-	if err := node.listeners.open(o.Settings, o.Log); err != nil {
+	node := &Node{options: o, now: o.Now, log: o.Log, memory: newMemory(o.Settings.Limits, maxDescriptors(), o.HTTPProfile, o.Log)}
+	if err := node.listeners.open(o.Settings, node.memory, o.Log); err != nil {
 		return nil, err
 	}
 	node.runContext, node.stop = context.WithCancelCause(context.Background())
@@ -140,6 +141,7 @@
 	n.recordLogger.PublishMetrics(n.metrics)
 	n.meter = control.NewMeter()
 	n.metrics.Set("control", n.meter.Vars())
+	n.metrics.Set("connection_memory", expvar.Func(n.memory.metric))
 	n.metrics.Set("config_version", expvar.Func(func() any { return n.version.Load() }))
 }
 
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -21,6 +21,7 @@
 	DefaultReadHeaderTimeout = 5 * time.Second
 	DefaultIdleTimeout       = 90 * time.Second
 	DefaultConnections       = 10000
+	DefaultWriteTimeout      = 5 * time.Second
 	DefaultLogLevel          = "info"
 	DefaultFloor             = 0.5
 	DefaultRetryShare        = 0.1
@@ -30,7 +31,13 @@
 	// receiving new work.
 	DefaultDrainNotice = time.Second
 
+	// DefaultConnectionMemory bounds the memory that connections hold when the memory
+	// of the host is not known.
+	DefaultConnectionMemory = 64 << 20
+
 	minTokenBytes = 16
+	// minMemory leaves 16 MiB for connections, several times the largest request.
+	minMemory = 32 << 20
 )
 
 // Settings holds the settings of one node.
@@ -114,8 +121,45 @@
 	ReadHeaderTimeout time.Duration `toml:"read_header_timeout"`
 	IdleTimeout       time.Duration `toml:"idle_timeout"`
 	Connections       int           `toml:"connections"` // per listener
+	// WriteTimeout is the time within which a client must read something of a
+	// response that waits for it. Default 5s.
+	WriteTimeout time.Duration `toml:"write_timeout"`
+	// Memory is the memory of the host, such as "184MB". Half of it bounds what
+	// connections hold. Default 0: not known.
+	Memory ByteSize `toml:"memory"`
+}
+
+// ConnectionMemory returns the bound on the memory that connections hold, bytes.
+func (l Limits) ConnectionMemory() int64 {
+	if l.Memory == 0 {
+		return DefaultConnectionMemory
+	}
+	return int64(l.Memory) / 2
+}
+
+// RuntimeMemory returns the soft limit for the memory of the Go runtime, bytes, or 0
+// for no limit. The rest of the host's memory is for the program's pages, buffers of
+// the kernel and garbage that is not collected yet.
+func (l Limits) RuntimeMemory() int64 { return int64(l.Memory) / 4 * 3 }
+
+// ByteSize is a number of bytes. In a settings file it is an integer, or a text with
+// one of the units B, KB, MB, GB (powers of 1000), KiB, MiB and GiB.
+type ByteSize int64
+
+// UnmarshalText parses a number with a unit.
+func (b *ByteSize) UnmarshalText(text []byte) error {
+	digits := strings.TrimRight(string(text), "BKMGi ")
+	number, err := strconv.ParseFloat(digits, 64)
+	unit, known := byteUnits[strings.TrimSpace(string(text[len(digits):]))]
+	if err != nil || !known || !(number >= 0 && number*unit < math.MaxInt64) {
+		return fmt.Errorf("want a number of bytes such as 184MB, got %q", text)
+	}
+	*b = ByteSize(number * unit)
+	return nil
 }
 
+var byteUnits = map[string]float64{"": 1, "B": 1, "KB": 1e3, "MB": 1e6, "GB": 1e9, "KiB": 1 << 10, "MiB": 1 << 20, "GiB": 1 << 30}
+
 // Load reads and validates a settings file. The error is a finding.List when the
 // content is invalid, and another error when the file cannot be read.
 func Load(path string) (Settings, error) {
@@ -167,6 +211,7 @@
 	setDefault(&s.Limits.ReadHeaderTimeout, DefaultReadHeaderTimeout)
 	setDefault(&s.Limits.IdleTimeout, DefaultIdleTimeout)
 	setDefault(&s.Limits.Connections, DefaultConnections)
+	setDefault(&s.Limits.WriteTimeout, DefaultWriteTimeout)
 }
 
 func setDefault[T comparable](value *T, defaultValue T) {
@@ -292,6 +337,12 @@
 	if l.Connections < 0 {
 		doc.Add("limits.connections", "must not be negative")
 	}
+	if l.WriteTimeout < 0 {
+		doc.Add("limits.write_timeout", "must not be negative")
+	}
+	if l.Memory != 0 && l.Memory < minMemory {
+		doc.Add("limits.memory", "want 0 or at least %d bytes, got %d", minMemory, l.Memory)
+	}
 }
 
 // ChangedKeys returns the top-level keys in which two settings differ, without
--- a/process/settings/settings_test.go
+++ b/process/settings/settings_test.go
@@ -63,3 +63,19 @@
 		}
 	}
 }
+
+// Guards against a size whose unit is dropped or misread.
+func TestMemoryIsASizeWithUnit(t *testing.T) {
+	for text, want := range map[string]settings.ByteSize{
+		`"184MB"`: 184e6, `"96 MiB"`: 96 << 20, `"1.5GiB"`: 3 << 29, `100000000`: 1e8, `"98304KiB"`: 96 << 20, `0`: 0,
+		`"184"`: -1, `"184mb"`: -1, `"MB"`: -1, `"-184MB"`: -1, `"1e30GB"`: -1, `-5`: -1, `1000`: -1,
+	} {
+		s, findings := settings.Parse("node.toml", []byte(strings.Replace(settings.Template, "memory = 0", "memory = "+text, 1)))
+		switch {
+		case want < 0 && (len(findings) != 1 || findings[0].Key != "limits.memory"):
+			t.Errorf("%s: findings %v", text, findings)
+		case want >= 0 && (len(findings) > 0 || s.Limits.Memory != want):
+			t.Errorf("%s: got %d, %v", text, s.Limits.Memory, findings)
+		}
+	}
+}
--- a/process/settings/template.go
+++ b/process/settings/template.go
@@ -66,6 +66,11 @@
 idle_timeout = "1m30s"
 # Connections per listener.
 connections = 10000
+# Time within which a client must read something of a response that waits for it; else its connection is closed.
+write_timeout = "5s"
+# Memory of the host, bytes or such as "184MB". Connections hold at most half of it, and the garbage collector works more
+# from three quarters on. 0: not known, connections hold at most 64 MiB.
+memory = 0
 
 [defaults]
 # Share of a service's targets that ejection always leaves in rotation, where the configuration does not set it.
--- a/process/telemetry/metrics.go
+++ b/process/telemetry/metrics.go
@@ -239,8 +239,11 @@
 				vars[name] = json.RawMessage(v.String())
 			}
 		}
-		if err := json.NewEncoder(w).Encode(vars); err != nil {
+		data, err := json.Marshal(vars)
+		if err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
 		}
+		_, _ = w.Write(append(data, '\n')) // fails only if the client is gone
 	})
 }
