--- a/process/node/memory.go
+++ b/process/node/memory.go
@@ -57,8 +57,10 @@
 	log     zerolog.Logger
 	refusal []byte // response to a request that is refused before it was parsed
 
-	mu     sync.Mutex
-	budget *membudget.Budget
+	mu       sync.Mutex
+	budget   *membudget.Budget
+	logged   bool // state in the last line about it
+	loggedAt time.Time
 
 	slowReaders atomic.Int64 // connections ended because the client read nothing
 	replaced    atomic.Int64 // waiting connections closed in favour of new ones
@@ -103,9 +105,8 @@
 		return true
 	}
 	m.mu.Lock()
-	before := m.budget.Reached()
 	d := m.budget.Update(&c.holder, bytes, evictable)
-	m.logChange(before)
+	m.logChange()
 	m.mu.Unlock()
 	for _, victim := range d.Close {
 		_ = victim.Value.(*limitedConn).Conn.Close() // its server may have closed it
@@ -119,21 +120,29 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	before := m.budget.Reached()
 	m.budget.Release(&c.holder)
-	m.logChange(before)
+	m.logChange()
 }
 
+// changeLogInterval is the least time between two lines about the state of the budget,
+// which clients can change many times a second.
+const changeLogInterval = 5 * time.Second
+
 // logChange writes a line when the budget is reached or no longer reached. The caller
 // holds m.mu.
-func (m *memory) logChange(before bool) {
-	after := m.budget.Reached()
-	if after == before {
+func (m *memory) logChange() {
+	reached := m.budget.Reached()
+	if reached == m.logged {
+		return
+	}
+	now := time.Now()
+	if now.Sub(m.loggedAt) < changeLogInterval {
 		return
 	}
+	m.logged, m.loggedAt = reached, now
 	s := m.budget.Stats()
 	event, text := m.log.Info(), "node: the memory budget for connections is no longer reached"
-	if after {
+	if reached {
 		event, text = m.log.Warn(), "node: the memory budget for connections is reached, the largest are closed or refused"
 	}
 	event.Int64("used_bytes", s.Used).Int64("budget_bytes", s.Bytes).Int("connections", s.Connections).
--- a/process/node/memory_test.go
+++ b/process/node/memory_test.go
@@ -153,6 +153,26 @@
 	awaitMemory(t, m, "all is released", func(s memoryMetric) bool { return s.UsedBytes == 0 && s.Connections == 0 && !s.Reached })
 }
 
+// Guards against a line for each of many changes of state.
+func TestStateOfBudgetIsLoggedOnce(t *testing.T) {
+	var lines bytes.Buffer
+	m := newMemory(settings.Limits{Memory: 8 << 20}, 0, attempt.DefaultHTTPProfile, zerolog.New(&lines))
+	for range 100 {
+		c := &limitedConn{}
+		c.holder.Value = c
+		if m.update(c, 5<<20, false) {
+			t.Fatal("a charge above the budget was admitted")
+		}
+		if !m.update(c, 1<<20, false) {
+			t.Fatal("a charge within the budget was refused")
+		}
+		m.release(c)
+	}
+	if n := bytes.Count(lines.Bytes(), []byte{'\n'}); n != 1 {
+		t.Errorf("%d lines for 100 changes:\n%s", n, lines.Bytes())
+	}
+}
+
 // Guards against a response that occupies its handler for as long as the client reads
 // nothing, and against ending one that is read slowly.
 func TestWriteEndsWithoutReader(t *testing.T) {
