--- a/cmd/hyssopsilld/untrusted_test.go
+++ b/cmd/hyssopsilld/untrusted_test.go
@@ -38,7 +38,7 @@
 // untrustedNode is a process with the lowered limits.
 type untrustedNode struct {
 	*nodeProcess
-	fleet   *fleet
+	target  *targetProcess
 	metrics string
 }
 
@@ -79,9 +79,9 @@
 	}
 	f.nodes = append(f.nodes, n)
 	f.publish(testConfig)
-	f.addTarget(n, "t1", "shop")
+	target := f.addTarget(n, "t1", "shop")
 	f.waitReady("t1")
-	return &untrustedNode{nodeProcess: n, fleet: f, metrics: metrics}
+	return &untrustedNode{nodeProcess: n, target: target, metrics: metrics}
 }
 
 // untrustedClient sends what one client sends on its connection. It returns when it
@@ -321,3 +321,19 @@
 		}
 	}
 }
+
+// Guards against a client that reads nothing of a streamed response and so occupies a
+// slot of the target until the deadline, 40 s later.
+func TestResponseNotReadFreesSlot(t *testing.T) {
+	n := startUntrustedNode(t)
+	running := func() int { return n.target.counts(t).Running }
+	conn, err := net.DialTimeout("tcp", n.caller, untrustedWriteTime)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.(*net.TCPConn).SetReadBuffer(4096)
+	send(conn, "GET /guides/g?size=200000000 HTTP/1.1\r\nHost: h\r\n\r\n")
+	eventually(t, 10*time.Second, "the request runs", func() bool { return running() == 1 })
+	eventually(t, 25*time.Second, "the slot is free", func() bool { return running() == 0 })
+}
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -122,7 +122,7 @@
 	IdleTimeout       time.Duration `toml:"idle_timeout"`
 	Connections       int           `toml:"connections"` // per listener
 	// WriteTimeout is the time within which a client must read something of a
-	// response that waits for it. Default 5s.
+	// response that waits for it. A write that sent a part waits once more. Default 5s.
 	WriteTimeout time.Duration `toml:"write_timeout"`
 	// Memory is the memory of the host, such as "184MB". Half of it bounds what
 	// connections hold. Default 0: not known.
