--- a/process/entry/where.go
+++ b/process/entry/where.go
@@ -78,7 +78,7 @@
 	now := e.now()
 	d.Long = class.Long || (class.Learn && e.learner.IsLong(match.Route.ID, match.PathGroup))
 	query := selection.Query{Service: service, Long: d.Long, RemoteCostFactor: e.remoteCostFactor(match.Route.ID)}
-	state := e.rotationState(now)
+	state := e.rotationState(now, class.Idempotent)
 	for _, l := range e.selector.MemberLoads(now, service, d.Long) {
 		target, st := f.targets[l.Target], state(l.Target)
 		c := DestinationCandidate{Target: target.info.ID, Own: l.Own, Load: l.Load, Deviation: l.Deviation,
