--- a/connection/quota/ledger.go
+++ b/connection/quota/ledger.go
@@ -38,6 +38,7 @@
 	accounts  map[string]*ledgerAccount
 	throttled map[string]*ledgerAccount // with a share below 1, or with a push to do
 	nextSweep time.Time
+	foreignAt time.Time // last report of another node
 }
 
 type ledgerAccount struct {
@@ -105,9 +106,19 @@
 	}
 }
 
+// ReportedByOthers reports whether another node has reported to this one lately. Such a node
+// is not alone, although none may respond to it: its part of a limit is that of the nodes
+// that respond, not its own only.
+func (l *Ledger) ReportedByOthers(now time.Time) bool {
+	return !l.foreignAt.IsZero() && now.Sub(l.foreignAt) < takeoverGap
+}
+
 // Report applies a report of an entry and returns the verdicts for it. limits returns
 // the limit of an account, which has none if the rate is 0.
 func (l *Ledger) Report(now time.Time, r Report, limits func(account string) Limit) Verdicts {
+	if r.Entry != l.options.Node {
+		l.foreignAt = now
+	}
 	out := Verdicts{Owner: l.options.Node}
 	for i := range r.Accounts {
 		reported := &r.Accounts[i]
--- a/process/entry/account_quota.go
+++ b/process/entry/account_quota.go
@@ -145,7 +145,7 @@
 	reports, isolated := q.meter.Reports(now), q.meter.Isolated()
 	q.meterMu.Unlock()
 	q.ledgerMu.Lock()
-	q.ledger.SetReachable(reachable(f, isolated))
+	q.ledger.SetReachable(reachable(f, isolated && !q.ledger.ReportedByOthers(now)))
 	pushes := q.ledger.Push(now, q.names)
 	changes := q.takeChanges(now)
 	q.forgetLogged(now)
