--- a/cmd/hyssopsill/accounts.go
+++ b/cmd/hyssopsill/accounts.go
@@ -68,13 +68,7 @@
 	if err := a.print(c, out, func(w io.Writer) { writeAccountTables(w, out.Views) }); err != nil {
 		return err
 	}
-	for address, message := range out.Errors {
-		fmt.Fprintf(a.stderr, "%s: %s\n", address, message)
-	}
-	if len(out.Views) == 0 {
-		return fmt.Errorf("no node responded")
-	}
-	return nil
+	return a.reportNodeErrors(out.Errors, len(out.Views))
 }
 
 func writeAccountTables(w io.Writer, views []accountsView) {
--- a/cmd/hyssopsill/nodes.go
+++ b/cmd/hyssopsill/nodes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -104,3 +105,15 @@
 	}
 	return out, nil
 }
+
+// reportNodeErrors writes why nodes, by URL, did not respond. It returns an error when none
+// of them did.
+func (a *app) reportNodeErrors(byURL map[string]string, responded int) error {
+	for address, message := range byURL {
+		fmt.Fprintf(a.stderr, "%s: %s\n", address, message)
+	}
+	if responded == 0 {
+		return errors.New("no node responded")
+	}
+	return nil
+}
