--- a/connection/quota/ledger.go
+++ b/connection/quota/ledger.go
@@ -98,18 +98,22 @@
 	return &Ledger{options: o, reachable: 1, accounts: map[string]*ledgerAccount{}, throttled: map[string]*ledgerAccount{}}
 }
 
-// SetReachable sets the share of the known nodes that respond, as membership sees it.
-// Owners on both sides of a partition each take their side's part of a limit.
-func (l *Ledger) SetReachable(share float64) {
-	if !l.options.ignoreReachable && share > 0 && share <= 1 {
-		l.reachable = share
+// SetReachable sets how many of the known nodes respond, as membership sees it. Owners on
+// both sides of a partition each take their side's part of a limit. isolated means that no
+// owner responds to the entry of this node, which then has its own part only, unless other
+// nodes still report to it: with one-way loss it would apply the part of one node to all.
+func (l *Ledger) SetReachable(now time.Time, responding, known int, isolated bool) {
+	if l.options.ignoreReachable {
+		return
+	}
+	if isolated && !l.reportedByOthers(now) {
+		responding = 1
 	}
+	l.reachable = float64(max(1, responding)) / float64(max(1, responding, known))
 }
 
-// ReportedByOthers reports whether another node has reported to this one lately. Such a node
-// is not alone, although none may respond to it: its part of a limit is that of the nodes
-// that respond, not its own only.
-func (l *Ledger) ReportedByOthers(now time.Time) bool {
+// reportedByOthers reports whether another node has reported to this one lately.
+func (l *Ledger) reportedByOthers(now time.Time) bool {
 	return !l.foreignAt.IsZero() && now.Sub(l.foreignAt) < takeoverGap
 }
 
@@ -157,8 +161,8 @@
 }
 
 // inherit takes over the share that another owner, or this node before a restart, gave an
-// entry: the bucket is empty, and
-// the share is not raised until it is known how much of the demand reaches this owner.
+// entry: the bucket is empty, and the share is not raised until it is known how much of
+// the demand reaches this owner.
 func (l *Ledger) inherit(now time.Time, a *ledgerAccount, r *AccountReport) {
 	share, own := r.Share, r.Made >= a.createdAt.UnixNano()
 	if own || share == nil || !(*share >= 0 && *share < 1) || now.Sub(a.createdAt) > VerdictTTL || l.options.fullAtTakeover {
--- a/connection/quota/sim_test.go
+++ b/connection/quota/sim_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -204,10 +205,7 @@
 	}
 	alive, reachable := s.view(n)
 	n.meter.SetNodes(alive)
-	if n.meter.Isolated() {
-		reachable = 1 / float64(len(s.nodes))
-	}
-	n.ledger.SetReachable(reachable)
+	n.ledger.SetReachable(s.clock(), int(math.Round(reachable*float64(len(s.nodes)))), len(s.nodes), n.meter.Isolated())
 	reports := n.meter.Reports(s.clock())
 	for _, owner := range slices.Sorted(maps.Keys(reports)) {
 		s.report(n, s.node(owner), reports[owner])
--- a/process/entry/account_quota.go
+++ b/process/entry/account_quota.go
@@ -145,7 +145,8 @@
 	reports, isolated := q.meter.Reports(now), q.meter.Isolated()
 	q.meterMu.Unlock()
 	q.ledgerMu.Lock()
-	q.ledger.SetReachable(reachable(f, isolated && !q.ledger.ReportedByOthers(now)))
+	responding, known := countNodes(f)
+	q.ledger.SetReachable(now, responding, known, isolated)
 	pushes := q.ledger.Push(now, q.names)
 	changes := q.takeChanges(now)
 	q.forgetLogged(now)
@@ -225,10 +226,9 @@
 	return s == membership.NodeAlive || s == membership.NodePaused || s == membership.NodeLeaving
 }
 
-// reachable returns the share of the nodes that respond to this one, of all that have not
-// left in good order.
-func reachable(f *fleet, isolated bool) float64 {
-	known, responding := 0, 0
+// countNodes returns the number of nodes that respond to this one, and that of all nodes that
+// have not left in good order.
+func countNodes(f *fleet) (responding, known int) {
 	for _, m := range f.view.Members {
 		if m.State != membership.NodeLeft {
 			known++
@@ -237,10 +237,7 @@
 			responding++
 		}
 	}
-	if isolated {
-		responding = 1
-	}
-	return float64(max(1, responding)) / float64(max(1, known))
+	return responding, known
 }
 
 func (q *accountQuota) report(owner, address string, r quota.Report) {
