--- a/process/control/documents.go
+++ b/process/control/documents.go
@@ -307,9 +307,9 @@
 	d.mu.Lock()
 	outcome, err := d.core.Offer(data, source)
 	version := d.core.Version()
-	var pushPeers []distribute.Peer
+	var peers []distribute.Peer
 	if outcome == document.InForce {
-		pushPeers = d.core.PushPeers()
+		peers = d.core.PeersToAnnounce()
 	}
 	d.mu.Unlock()
 	if err != nil {
@@ -319,7 +319,7 @@
 	if outcome == document.Reissued {
 		d.log.Warn().Int64("version", version).Msg("config: the operator published another document under the version in force, after a restore of the log service")
 	}
-	for _, p := range pushPeers {
+	for _, p := range peers {
 		d.calls.start(func(ctx context.Context) {
 			request := &controlpb.ConfigurationRequest{From: d.options.Core.Node, After: version} // no entries are wanted
 			_, _ = d.options.Client.Configuration(ctx, p.Address, request)                        // a peer that misses it learns of the version by gossip
--- a/version/document/announce_test.go
+++ b/version/document/announce_test.go
@@ -1,9 +1,9 @@
 package document
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -17,26 +17,13 @@
 	run func(now time.Time)
 }
 
-type deliveries []delivery
-
-func (d deliveries) Len() int           { return len(d) }
-func (d deliveries) Less(i, j int) bool { return d[i].at.Before(d[j].at) }
-func (d deliveries) Swap(i, j int)      { d[i], d[j] = d[j], d[i] }
-func (d *deliveries) Push(x any)        { *d = append(*d, x.(delivery)) }
-func (d *deliveries) Pop() any {
-	old := *d
-	last := old[len(old)-1]
-	*d = old[:len(old)-1]
-	return last
-}
-
 // documentFleet distributes one document by announcements.
 type documentFleet struct {
 	random          *rand.Rand
 	nodes           []string
 	cores           map[string]*Core
 	peers           map[string]distribute.Peer
-	events          deliveries
+	events          []delivery
 	lossRate        float64 // of messages
 	copies, foreign int     // documents that were sent, and those between failure domains
 	inForceAt       map[string]time.Time
@@ -68,7 +55,7 @@
 		delay = 5 * time.Millisecond
 	}
 	if f.random.Float64() >= f.lossRate {
-		heap.Push(&f.events, delivery{now.Add(delay), fn})
+		f.events = append(f.events, delivery{now.Add(delay), fn})
 	}
 }
 
@@ -79,7 +66,7 @@
 	}
 	f.inForceAt[node] = now
 	version := c.Version()
-	for _, p := range c.PushPeers() {
+	for _, p := range c.PeersToAnnounce() {
 		f.send(now, node, p.Node, func(now time.Time) {
 			if from, ok := f.cores[p.Node].Announce(now, node, version); ok {
 				f.fetch(now, p.Node, from.Node)
@@ -120,20 +107,27 @@
 func (f *documentFleet) run(start time.Time) {
 	for _, node := range f.nodes {
 		if f.random.Float64() < 1.0/3 {
-			heap.Push(&f.events, delivery{start.Add(time.Duration(f.random.Int64N(int64(20 * time.Millisecond)))), func(now time.Time) { f.offer(now, node, "2") }})
+			f.events = append(f.events, delivery{start.Add(time.Duration(f.random.Int64N(int64(20 * time.Millisecond)))), func(now time.Time) { f.offer(now, node, "2") }})
 		}
 		for tick := start; tick.Before(start.Add(2 * time.Second)); tick = tick.Add(100 * time.Millisecond) {
-			heap.Push(&f.events, delivery{tick, func(now time.Time) {
+			f.events = append(f.events, delivery{tick, func(now time.Time) {
 				if p, ok := f.cores[node].NewerPeer(now); ok {
 					f.fetch(now, node, p.Node)
 				}
 			}})
 		}
 	}
-	heap.Push(&f.events, delivery{start.Add(time.Second), func(time.Time) { f.gossip() }})
+	f.events = append(f.events, delivery{start.Add(time.Second), func(time.Time) { f.gossip() }})
 	for len(f.events) > 0 {
-		next := heap.Pop(&f.events).(delivery)
-		next.run(next.at)
+		next := 0
+		for i, e := range f.events {
+			if e.at.Before(f.events[next].at) {
+				next = i
+			}
+		}
+		event := f.events[next]
+		f.events = slices.Delete(f.events, next, next+1)
+		event.run(event.at)
 	}
 }
 
--- a/version/document/core.go
+++ b/version/document/core.go
@@ -184,9 +184,9 @@
 // NewerThan returns the document in force and whether it is newer than a version.
 func (c *Core) NewerThan(version int64) ([]byte, bool) { return c.data, c.Version() > version }
 
-// PushPeers returns the peers to which this node announces the document in force:
+// PeersToAnnounce returns the peers to which this node announces the document in force:
 // random ones and the successor, without those that already have its version.
-func (c *Core) PushPeers() []distribute.Peer {
+func (c *Core) PeersToAnnounce() []distribute.Peer {
 	var out []distribute.Peer
 	successor := c.successor()
 	if successor >= 0 && c.peers[successor].Version < c.Version() {
