--- a/connection/breaker/return_test.go
+++ b/connection/breaker/return_test.go
@@ -7,7 +7,7 @@
 )
 
 // errorPeriods is the load pattern of targets that fail in turn: a target returns errors
-// to nine requests in ten for 1 to 9 s, then is well for about twice as long.
+// to nine requests in ten for 1 to 9 s, then works for about twice as long.
 type errorPeriods struct {
 	breaker         *Breaker
 	random          *rand.Rand
@@ -15,9 +15,9 @@
 	calledFailures  float64 // share of the requests of which a call to another service fails
 }
 
-// returnTimes plays the pattern for ten minutes with ten requests/s and returns the mean
-// and the longest time that the breaker stays open after the target is well again, and
-// the number of non-idempotent requests that a failing target got per period.
+// play replays the pattern for ten minutes with ten requests/s. It returns the mean and the
+// longest time for which the breaker stays open after its target has recovered, and the
+// number of non-idempotent requests that a failing target got per period.
 func (p *errorPeriods) play() (mean, longest time.Duration, lost float64) {
 	const step = 100 * time.Millisecond
 	const serviceTime = 500 * time.Millisecond
@@ -28,7 +28,7 @@
 	}
 	var inProgress []running
 	now, failing, periods, waited := epoch, false, 0, time.Duration(0)
-	changeAt, wellAt, open := now.Add(2*time.Second), now, false
+	changeAt, recoveredAt, open := now.Add(2*time.Second), now, false
 	for range int(10 * time.Minute / step) {
 		now = now.Add(step)
 		if !now.Before(changeAt) {
@@ -37,7 +37,7 @@
 			if failing {
 				periods++
 			} else {
-				length, wellAt, open = 2*length, now, p.breaker.Open()
+				length, recoveredAt, open = 2*length, now, p.breaker.Open()
 			}
 			changeAt = now.Add(length)
 		}
@@ -52,8 +52,8 @@
 		inProgress = rest
 		if open && !failing && !p.breaker.Open() {
 			open = false
-			waited += now.Sub(wellAt)
-			longest = max(longest, now.Sub(wellAt))
+			waited += now.Sub(recoveredAt)
+			longest = max(longest, now.Sub(recoveredAt))
 		}
 		idempotent := p.random.Float64() < p.idempotentShare
 		decision := p.breaker.Admit(now, idempotent)
@@ -75,7 +75,7 @@
 	return waited / time.Duration(periods), longest, lost / float64(periods)
 }
 
-// Guards against breakers that stay open for seconds after their target is well, which
+// Guards against breakers that stay open for seconds after their target has recovered, which
 // takes capacity from a service of which 30 % of the targets fail at any time, and against
 // a quick return that is paid for with non-idempotent work at failing targets.
 func TestReturnsSoonAfterErrorPeriods(t *testing.T) {
@@ -95,7 +95,7 @@
 		}
 		mean, longest, lost := play(false)
 		slowMean, slowLongest, slowLost := play(true)
-		t.Logf("%s: open for %s on average after the target is well, %s at most, %.2f lost per period; before %s, %s, %.2f",
+		t.Logf("%s: open for %s on average after the target has recovered, %s at most, %.2f lost per period; before %s, %s, %.2f",
 			pattern.name, mean, longest, lost, slowMean, slowLongest, slowLost)
 		if mean > pattern.maxMean || mean >= slowMean {
 			t.Errorf("%s: open for %s on average, bound %s; with the rules before %s", pattern.name, mean, pattern.maxMean, slowMean)
