--- a/cmd/hyssopsilld/harness_test.go
+++ b/cmd/hyssopsilld/harness_test.go
@@ -309,8 +309,8 @@
 	t.Fatalf("not reached within %s: %s", d, description)
 }
 
-// setupTimeout bounds a call of a test's set-up to the log. All tests start their
-// processes at the same time.
+// setupTimeout bounds a call of the harness itself to the log. All tests start their
+// processes at the same time, and one that reads the log with the default of 1 s fails under load.
 const setupTimeout = 10 * time.Second
 
 // publish appends the change from the configuration in force to the one in text and
