--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -67,6 +67,10 @@
 	// DrainNotice is the time for which a draining node still accepts new
 	// connections, so that callers learn of the drain. Default 1s.
 	DrainNotice time.Duration `toml:"drain_notice"`
+	// DrainHandover is the time for which the gate of a draining node still accepts
+	// work that ends well before the drain does. It is announced as leaving after
+	// that. At most DrainNotice. Default 0: all work is refused at once.
+	DrainHandover time.Duration `toml:"drain_handover"`
 	// DecisionStream turns on writing decision records to the log's stream, in
 	// addition to log lines. Default true.
 	DecisionStream bool   `toml:"decision_stream"`
@@ -263,6 +267,9 @@
 	if s.DrainNotice < 0 {
 		doc.Add("drain_notice", "must not be negative")
 	}
+	if s.DrainHandover < 0 || s.DrainHandover > s.DrainNotice {
+		doc.Add("drain_handover", "want 0 to drain_notice (%s), got %s", s.DrainNotice, s.DrainHandover)
+	}
 	if s.DrainTimeout < 0 {
 		doc.Add("drain_timeout", "must not be negative")
 	}
--- a/process/settings/settings_test.go
+++ b/process/settings/settings_test.go
@@ -79,3 +79,17 @@
 		}
 	}
 }
+
+// Guards against a handover that outlasts the notice, after which callers no longer reach
+// the node.
+func TestDrainHandoverIsWithinNotice(t *testing.T) {
+	for text, valid := range map[string]bool{"0s": true, "1s": true, "1001ms": false, "-1ms": false} {
+		s, findings := settings.Parse("node.toml", []byte(strings.Replace(settings.Template, `drain_handover = "0s"`, `drain_handover = "`+text+`"`, 1)))
+		switch {
+		case valid && (len(findings) > 0 || s.DrainHandover.String() != text):
+			t.Errorf("%s: got %s, %v", text, s.DrainHandover, findings)
+		case !valid && (len(findings) != 1 || findings[0].Key != "drain_handover" || findings[0].Line == 0):
+			t.Errorf("%s: findings %v", text, findings)
+		}
+	}
+}
--- a/process/settings/template.go
+++ b/process/settings/template.go
@@ -30,6 +30,9 @@
 
 # On SIGTERM, keep accepting new connections for this long, so that callers learn of the drain.
 drain_notice = "1s"
+# On SIGTERM, let the gate accept work that ends in time for this long, at most drain_notice, before it
+# refuses all work and other nodes learn of the drain. 0 refuses at once.
+drain_handover = "0s"
 # On SIGTERM, wait this long for running requests and then abort them. 0 is no bound.
 drain_timeout = "0s"
 
