connection/admission: handover of a draining node

A node that drains does not take its targets with it, but its gate refused all work from the signal on, and the targets have no other gate. BeginDrain gives the drain a handover: until its end the controller accepts work that is past its deadline before the drain ends, or that is idempotent and ends in time by a generous estimate (5 mean service times, 6 mean deviations, and the time for which work of the class has been running). From the end on it refuses all work, even before DrainAll is called.

The histories of model_test.go can begin such a drain; their work is idempotent in half of the cases. Nothing else in the existing tests changes.

--- a/connection/admission/controller.go
+++ b/connection/admission/controller.go
@@ -18,6 +18,7 @@
 	lastTicket     Ticket
 	lastGeneration int // of any target; a generation is never used twice
 	draining       bool
+	handover       *Handover // nil unless BeginDrain was called
 	lastTick       time.Time
 }
 
@@ -127,12 +128,12 @@
 	switch {
 	case t == nil:
 		return refusal(sub, attempt.ReasonNoTarget, 0)
-	case (t.draining || c.draining) && !c.options.noDrainCheck:
+	case c.leaving(now, t) && !c.options.noDrainCheck:
 		return refusal(sub, attempt.ReasonLeaving, 0)
 	}
 	t.classify(sub)
 	t.recordArrival(now, sub)
-	if reason := c.infeasible(now, t, sub, 0); reason != attempt.ReasonNone {
+	if reason := c.refusalReason(now, t, sub, 0); reason != attempt.ReasonNone {
 		return refusal(sub, reason, 0)
 	}
 	if work.NoWait && (t.hasWaiting(sub) || !c.admits(now, t, sub.long)) {
@@ -180,6 +181,10 @@
 	}
 	sub.brief = !c.options.noBriefFirst && t.isBrief(sub)
 	wait := t.expectedWait(now, sub, c.options)
+	if c.outlastsHandover(now, sub, wait) {
+		delete(c.submissions, sub.ticket)
+		return refusal(sub, attempt.ReasonLeaving, 0)
+	}
 	margin := sub.class.deadlineMargin(sub.work.Deadline.Sub(now) - sub.class.expectedServiceTime(now))
 	tooLate := (sub.wouldMissObjective(now, wait) || sub.waitsLonger(maxExpectedShare, wait)) && !c.mayQueueLate(now, t, sub, wait)
 	if c.infeasible(now, t, sub, wait+margin) != attempt.ReasonNone || tooLate {
@@ -324,7 +329,7 @@
 // start checks the invariants and lets work take a slot.
 func (c *Controller) start(now time.Time, t *target, sub *submission) Decision {
 	deadline := sub.work.Deadline
-	c.reporter.Check(invariant.Leaving, !t.draining && !c.draining, "work %d starts on draining target %s", sub.ticket, t.ID)
+	c.reporter.Check(invariant.Leaving, !c.leaving(now, t), "work %d starts on draining target %s", sub.ticket, t.ID)
 	c.reporter.Check(invariant.NotRun, !sub.refused, "work %d starts on %s after its refusal", sub.ticket, t.ID)
 	c.reporter.Check(invariant.NotRun, deadline.IsZero() || now.Before(deadline), "work %d starts on %s after its deadline", sub.ticket, t.ID)
 	t.recordStart(now, sub)
@@ -347,7 +352,7 @@
 			if sub.refused { // only with keepDisplaced
 				continue
 			}
-			reason := c.infeasible(now, t, sub, 0)
+			reason := c.refusalReason(now, t, sub, 0)
 			if reason == attempt.ReasonNone && sub.waitedTooLong(now) && !c.admits(now, t, sub.long) {
 				reason = attempt.ReasonOverload
 			}
@@ -416,8 +421,8 @@
 }
 
 // Confirm must be called right before the first byte of started work is sent. It
-// returns false when the deadline has passed or the target has begun to drain
-// since the start, for example during a pause of the process. The ticket then
+// returns false when the deadline has passed, or the target or the node has begun to
+// drain since the start, for example during a pause of the process. The ticket then
 // ends, its caller gets a refusal, and Confirm returns the decisions on other
 // work that uses the freed slot.
 func (c *Controller) Confirm(now time.Time, ticket Ticket) (bool, []Decision) {
@@ -426,10 +431,10 @@
 		return false, nil
 	}
 	t := c.targets[sub.work.Target]
-	leaving := t == nil || t.draining || c.draining || sub.generation != t.generation
+	leaving := t == nil || c.leaving(now, t) || sub.generation != t.generation
 	deadline := sub.work.Deadline
 	expired := !deadline.IsZero() && !now.Before(deadline)
-	if !(leaving && !c.options.noDrainCheck) && !(expired && !c.options.noDeadline) {
+	if !(leaving && !c.options.noDrainCheck) && !c.outlastsHandover(now, sub, 0) && !(expired && !c.options.noDeadline) {
 		c.reporter.Check(invariant.Leaving, !leaving, "work %d is sent to draining target %s", ticket, sub.work.Target)
 		c.reporter.Check(invariant.NotRun, !expired, "work %d is sent to %s after its deadline", ticket, sub.work.Target)
 		sub.started, sub.confirmed = now, true
