process/node: handover of a draining node

For drain_handover the gate accepts work that ends before the drain. Then the node is announced as leaving and DrainAll follows. A repeated signal moves the end of the drain for accepted work, not that of the handover. A node that fails or whose name was taken over has no handover, and one that is in it ends it.

--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -254,6 +254,14 @@
 	}
 }
 
+// BeginDrain makes the gate accept only work that ends in time until the handover ends.
+// A repeated call changes the times.
+func (g *Gate) BeginDrain(h admission.Handover) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.deliver(g.admission.BeginDrain(g.now(), h))
+}
+
 // DrainAll makes the gate refuse queued and further work. Running work finishes.
 func (g *Gate) DrainAll() {
 	g.mu.Lock()
--- a/process/node/drain.go
+++ b/process/node/drain.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/hyssopsill/hyssopsill/connection/admission"
 	"github.com/hyssopsill/hyssopsill/request/invariant"
 	"github.com/hyssopsill/hyssopsill/request/record"
 )
@@ -35,14 +36,15 @@
 	n.record(record.Record{At: startedAt, Node: n.options.Settings.Node, Kind: record.KindDrain,
 		Change: &record.Change{Subject: n.options.Settings.Node, To: "leaving", Why: fmt.Sprintf("drain requested with %d requests at the gate and %d at the entry", n.gate.Running(), n.entry.Active())}})
 	n.entry.Drain()
+	n.drainStartedAt = startedAt
 	n.setDrainTimes(startedAt)
-	n.gate.DrainAll()
-	n.fleet.announceLeaving()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	handoverEnded := n.startHandover(ctx)
 	n.drainTimer.start(n.options.Settings.DrainTimeout, n.endWaitingRequests, cancel)
 	defer n.drainTimer.stop()
 	waitDrainNotice(ctx, n.options.Settings.DrainNotice)
+	<-handoverEnded
 	// Callers first: their requests may run at this node's own gate.
 	n.shutdown(ctx, n.servers.caller)
 	n.shutdown(ctx, n.servers.peerData)
@@ -50,16 +52,54 @@
 	n.log.Info().Msgf("node: drained in %s", n.now().Sub(startedAt).Round(time.Millisecond))
 }
 
+// startHandover lets the gate accept work that ends in time for the handover period, after
+// which it refuses all work and the other nodes learn that this one leaves. It returns a
+// channel that is closed then. A node that fails has no handover: another process may
+// announce its targets, or their state is not known.
+//
+// A pause of the process uses up the handover, unlike the notice: the end of the drain
+// does not move with it.
+func (n *Node) startHandover(ctx context.Context) <-chan struct{} {
+	ended := make(chan struct{})
+	handover := n.options.Settings.DrainHandover
+	if handover <= 0 || n.noHandover.Err() != nil {
+		n.gate.DrainAll()
+		n.fleet.announceLeaving()
+		close(ended)
+		return ended
+	}
+	go func() {
+		defer close(ended)
+		timer := time.NewTimer(handover)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-n.noHandover.Done():
+		case <-ctx.Done():
+		}
+		n.fleet.announceLeaving()
+		n.gate.DrainAll()
+		n.log.Info().Msgf("node: handover ended after %s, leaving", n.now().Sub(n.drainStartedAt).Round(time.Millisecond))
+	}()
+	return ended
+}
+
 // maxSignalDelay is the time between a signal and the drain that it starts, on a host
 // whose processor share is used up until the end of a scheduling period of 100 ms.
 const maxSignalDelay = 100 * time.Millisecond
 
-// setDrainTimes tells the entry which requests it may still take in a drain whose
-// timeout began at from. Callers have the drain notice to learn that the node leaves;
+// setDrainTimes tells the entry and the gate which requests they may still take in a drain
+// whose timeout began at from. Callers have the drain notice to learn that the node leaves;
 // it begins with the signal.
 func (n *Node) setDrainTimes(from time.Time) {
-	if timeout := n.options.Settings.DrainTimeout; timeout > 0 {
-		n.entry.SetDrainTimes(from.Add(n.options.Settings.DrainNotice-maxSignalDelay), from.Add(endWaitingAfter(timeout)))
+	s := n.options.Settings
+	var end time.Time
+	if s.DrainTimeout > 0 {
+		end = from.Add(endWaitingAfter(s.DrainTimeout))
+		n.entry.SetDrainTimes(from.Add(s.DrainNotice-maxSignalDelay), end)
+	}
+	if s.DrainHandover > 0 {
+		n.gate.BeginDrain(admission.Handover{Until: n.drainStartedAt.Add(s.DrainHandover), End: end})
 	}
 }
 
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -79,7 +79,11 @@
 	supervisor   *suture.Supervisor
 	draining     atomic.Bool
 	drainTimer   drainTimer
-	failure      atomic.Pointer[error] // why the node drains, if nobody asked for it
+	// drainStartedAt is set before drainTimer starts, and constant then.
+	drainStartedAt time.Time
+	noHandover     context.Context // ends when the node fails
+	endHandover    context.CancelFunc
+	failure        atomic.Pointer[error] // why the node drains, if nobody asked for it
 }
 
 // New binds the listeners of a node. Serve must be called to run it.
@@ -101,6 +105,7 @@
 		return nil, err
 	}
 	node.runContext, node.stop = context.WithCancelCause(context.Background())
+	node.noHandover, node.endHandover = context.WithCancel(context.Background())
 	node.buildTelemetry()
 	node.buildRoles()
 	node.client = control.NewClient(control.ClientOptions{Token: o.Settings.FleetToken, Meter: node.meter, Timeout: controlCallTimeout})
@@ -227,6 +232,7 @@
 	a := n.Addresses()
 	n.log.Info().Str("caller", a.Caller).Str("peer_data", a.PeerData).Str("peer_control", a.PeerControl).
 		Str("announce", a.Announce).Str("admin", a.Admin).Msg("node: listening")
+	defer n.endHandover()
 	stopDrain := context.AfterFunc(ctx, n.Drain)
 	defer stopDrain()
 	err := n.supervisor.Serve(n.runContext)
@@ -245,6 +251,7 @@
 func (n *Node) fail(err error) {
 	n.log.Error().Err(err).Msg("node: cannot continue, draining")
 	n.failure.CompareAndSwap(nil, &err)
+	n.endHandover()
 	n.Drain()
 }
 
--- a/process/node/node_test.go
+++ b/process/node/node_test.go
@@ -54,12 +54,17 @@
 }
 
 func startTestNodeWith(t *testing.T, name, domain string, log eventlog.Store, defaults settings.Defaults) *testNode {
+	t.Helper()
+	return startTestNodeFrom(t, name, domain, log, func(s *settings.Settings) { s.Defaults = defaults })
+}
+
+func startTestNodeFrom(t *testing.T, name, domain string, log eventlog.Store, change func(*settings.Settings)) *testNode {
 	t.Helper()
 	any := "127.0.0.1:0"
 	s := settings.Settings{Node: name, Domain: domain, FleetToken: "token-of-the-test", LogURL: "http://127.0.0.1:1",
-		Defaults: defaults,
-		Listen:   settings.Listen{Caller: any, PeerData: any, PeerControl: any, Announce: any, Admin: any},
-		Limits:   settings.Limits{HeaderBytes: 32 << 10, BodyBytes: 1 << 20, ReadHeaderTimeout: time.Second, IdleTimeout: time.Minute, Connections: 1000}}
+		Listen: settings.Listen{Caller: any, PeerData: any, PeerControl: any, Announce: any, Admin: any},
+		Limits: settings.Limits{HeaderBytes: 32 << 10, BodyBytes: 1 << 20, ReadHeaderTimeout: time.Second, IdleTimeout: time.Minute, Connections: 1000}}
+	change(&s)
 	n, err := New(Options{Settings: s, Log: zerolog.Nop(), LogService: log, PanicOnViolation: true})
 	if err != nil {
 		t.Fatal(err)
