--- a/cmd/hyssopsilld/harness_test.go
+++ b/cmd/hyssopsilld/harness_test.go
@@ -136,6 +136,7 @@
 	caller, data, control, announce, admin string
 	proxy                                  *soak.Proxy // between the other nodes and this node's gate; may be nil
 	domain                                 string
+	settings                               string // further lines of the settings
 }
 
 type targetProcess struct {
@@ -190,6 +191,7 @@
 fleet_token = %q
 log_url = %q
 seeds = [%s]
+%s
 [listen]
 caller = %q
 peer_data = %q
@@ -198,7 +200,7 @@
 admin = %q
 [advertise]
 peer_data = %q
-`, n.name, n.domain, fleetToken, f.logURL, strings.Join(seeds, ", "), n.caller, n.data, n.control, n.announce, n.admin, advertise))
+`, n.name, n.domain, fleetToken, f.logURL, strings.Join(seeds, ", "), n.settings, n.caller, n.data, n.control, n.announce, n.admin, advertise))
 	n.process = startProcess(f.t, n.name, "hyssopsilld", "run", "--settings", n.file)
 	for key, address := range map[string]*string{"caller": &n.caller, "peer_data": &n.data, "peer_control": &n.control,
 		"announce": &n.announce, "admin": &n.admin} {
