--- a/cmd/hyssopsill-standin/main.go
+++ b/cmd/hyssopsill-standin/main.go
@@ -42,6 +42,7 @@
 				&cli.IntFlag{Name: "slots", Value: 6},
 				&cli.DurationFlag{Name: "ttl", Value: 3 * time.Second},
 				&cli.Uint64Flag{Name: "seed", Value: 1},
+				&cli.StringFlag{Name: "secret", Usage: "`TEXT` that no header of a request may contain; executions tell where it was"},
 				&cli.StringFlag{Name: "executions", Usage: "`FILE` to which a JSON line is appended for each request that starts to run"},
 			}},
 		},
@@ -77,7 +78,7 @@
 	t := target.New(target.Options{
 		ID: c.String("id"), Service: c.String("service"), Slots: c.Int("slots"), TTL: c.Duration("ttl"),
 		Node: c.String("node"), Address: listener.Addr().String(), Seed: c.Uint64("seed"),
-		Crash: func() { os.Exit(1) }, OnExecution: onExecution,
+		Crash: func() { os.Exit(1) }, OnExecution: onExecution, Secret: c.String("secret"),
 	})
 	fmt.Printf("target: listening on %s, control on %s\n", listener.Addr(), control.Addr())
 	go func() { _ = serve(ctx, control, t.ControlHandler()) }()
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -32,6 +32,8 @@
 	Seed  uint64
 	// OnExecution is called when a request starts to run or crashes the target.
 	OnExecution func(Execution)
+	// Secret, unless empty, is a text that no header of a request may contain.
+	Secret string
 }
 
 // Execution describes one run of a request, for a record outside the target.
@@ -42,6 +44,9 @@
 	Request attempt.RequestID `json:"request"`
 	Work    string            `json:"work,omitempty"`  // order key, or X-Work
 	Crash   string            `json:"crash,omitempty"` // text of the request on which the target crashed
+	Account string            `json:"account,omitempty"`
+	// SecretIn is the name of a header that contains Options.Secret, or empty.
+	SecretIn string `json:"secret_in,omitempty"`
 }
 
 // Counts are the counters of a target since its start.
@@ -184,7 +189,20 @@
 		workID = r.Header.Get("X-Work")
 	}
 	t.options.OnExecution(Execution{At: time.Now(), Target: t.options.ID, Method: r.Method, Work: workID, Crash: crash,
-		Request: attempt.RequestID(r.Header.Get(attempt.HeaderRequestID))})
+		Request: attempt.RequestID(r.Header.Get(attempt.HeaderRequestID)), Account: r.Header.Get(attempt.HeaderAccountName), SecretIn: t.secretHeader(r)})
+}
+
+// secretHeader returns the name of a header that contains Options.Secret, or "".
+func (t *Target) secretHeader(r *http.Request) string {
+	if t.options.Secret == "" {
+		return ""
+	}
+	for name, values := range r.Header {
+		if strings.Contains(name+": "+strings.Join(values, ","), t.options.Secret) {
+			return name
+		}
+	}
+	return ""
 }
 
 func customerAllowed(faults Faults, r *http.Request) bool {
