soak: accounts with limits and a change of keys under faults

Half of the seeds now have three accounts with limits, one without, surges of a limited account to six times its callers, and a publish that removes a key and adds one. New guarantees: account-limit and key. The events have a random source of their own (TestReloadsLeaveOtherEvents: the hash of the other events is unchanged), and a plan without them gets the same configuration as before.

TestEachGuaranteeIsChecked has cases for both guarantees. Its history now has accounts, so the executions of the existing cases get one. TestShortSoak requires that requests of limited accounts ran and that keys were refused.

--- a/cmd/hyssopsill/soak.go
+++ b/cmd/hyssopsill/soak.go
@@ -104,6 +104,10 @@
 	}
 	fmt.Fprintf(w, "seed %d: %d events, %d calls %v, %d violations, %d faults not injected, %.0f s, %s\n", report.Seed, events, report.Calls,
 		report.Outcomes, len(report.Violations), len(report.Notes), report.Seconds, report.Dir)
+	if l := report.Limits; l.LimitedRuns > 0 {
+		fmt.Fprintf(w, "  limited accounts: %d requests ran, at most %d of one account in a window, %d refused with 429; %d calls refused with 401\n",
+			l.LimitedRuns, l.BusiestWindow, l.Refused, l.Unauthenticated)
+	}
 	for _, v := range report.Violations {
 		fmt.Fprintf(w, "  %s: %s\n", v.Guarantee, v.Detail)
 	}
--- a/soak/check.go
+++ b/soak/check.go
@@ -30,6 +30,8 @@
 	Recovery      Guarantee = "recovery"        // all nodes and targets serve again after the faults
 	TargetRates   Guarantee = "target-rate"     // a target gets no more requests than the rate that it names
 	RequestedEnd  Guarantee = "requested-end"   // a process ends only by what the soak did
+	AccountLimit  Guarantee = "account-limit"   // no more requests of an account run than its limit allows
+	AccountKey    Guarantee = "key"             // changed keys are in force in time, and targets see accounts but no keys
 )
 
 // Violation describes one case in which a guarantee did not hold.
@@ -61,7 +63,8 @@
 		{AtMostOnce, checkAtMostOnce}, {NotRun, checkNotRun}, {OwnAnswer, checkOwnAnswer}, {NoCut, checkNoCut},
 		{GracefulStop, func(h *History) []string { return h.Stuck }}, {Leaving, checkLeaving}, {Floor, checkFloor},
 		{ConfigForward, checkConfigForward}, {Budget, checkBudget}, {PoisonLimit, checkPoison}, {Recovery, checkRecovery},
-		{RequestedEnd, checkEnds}, {TargetRates, checkRates},
+		{RequestedEnd, checkEnds}, {TargetRates, checkRates}, {AccountLimit, checkAccountLimits},
+		{AccountKey, checkKeys},
 	} {
 		for _, detail := range c.check(h) {
 			out = append(out, Violation{c.guarantee, detail})
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -62,12 +62,41 @@
 	for i := range 23 { // as many as 1.5 times the rate and 5 allow in 4 s
 		h.Executions = append(h.Executions, execution("t4", "", 23+float64(i)*0.17))
 	}
+	h.Plan.Events = []Event{{Kind: KeyChange}}
+	for i := range 97 { // as many as the limit allows in a window
+		h.Executions = append(h.Executions, target.Execution{At: atSecond(40 + float64(i)*0.05), Target: "t5", Account: limitedAccount(0), Request: attempt.RequestID(fmt.Sprint("l", i))})
+	}
+	h.Executions = append(h.Executions, h.Executions[len(h.Executions)-1]) // a retry is no further request
+	for i := range h.Calls {
+		h.Calls[i].Key = stableKey
+	}
+	h.KeysChangedAt = atSecond(50)
+	h.Pauses = []Pause{{Node: "n2", From: atSecond(59), To: atSecond(60)}}
+	refused := keyCall(removedKey, 55)
+	refused.Status, refused.Outcome, refused.Reason = 401, attempt.NotRun, attempt.ReasonUnauthenticated
+	h.Calls = append(h.Calls, keyCall(removedKey, 52.4), keyCall(removedKey, 62.9), keyCall(addedKey, 55), refused)
 	for i := range 39 { // a tenth of the first runs, and one per second for each node
 		h.Executions = append(h.Executions, target.Execution{At: atSecond(5), Target: "t2", Request: attempt.RequestID(fmt.Sprint("g", i))})
 	}
+	for i := range h.Executions {
+		if h.Executions[i].Account == "" {
+			h.Executions[i].Account = openAccount
+		}
+	}
 	return h
 }
 
+// keyCall returns a call with an API key that node n2 served.
+func keyCall(key string, second float64) Call {
+	return Call{Node: "n2", Path: "/kits", Key: key, WrittenAt: atSecond(second), EndedAt: atSecond(second + 0.1), Status: 200, Outcome: attempt.Answered, Request: "key"}
+}
+
+func accountExecution(targetID, work string, second float64, account string) target.Execution {
+	run := execution(targetID, work, second)
+	run.Account = account
+	return run
+}
+
 // Guards against checks that report a violation in a history without one.
 func TestNoFalseViolations(t *testing.T) {
 	if v := Check(compliantHistory()); len(v) > 0 {
@@ -82,8 +111,10 @@
 		guarantee Guarantee
 		violate   func(*History)
 	}{
-		{AtMostOnce, func(h *History) { h.Executions = append(h.Executions, execution("t3", "a", 2)) }},
-		{NotRun, func(h *History) { h.Executions = append(h.Executions, execution("t3", "refused", 2)) }},
+		{AtMostOnce, func(h *History) { h.Executions = append(h.Executions, accountExecution("t3", "a", 2, openAccount)) }},
+		{NotRun, func(h *History) {
+			h.Executions = append(h.Executions, accountExecution("t3", "refused", 2, openAccount))
+		}},
 		{OwnAnswer, func(h *History) {
 			h.Calls = append(h.Calls, Call{Path: "/kits", Status: 200, Mismatch: "response to another request"})
 		}},
@@ -98,27 +129,46 @@
 			h.Calls = append(h.Calls, Call{Node: "n1", Path: "/kits", WrittenAt: atSecond(7.9), ResentAt: atSecond(8.2), EndedAt: atSecond(8.3), Status: 200})
 		}},
 		{GracefulStop, func(h *History) { h.Stuck = []string{"n2"} }},
-		{Leaving, func(h *History) { h.Executions = append(h.Executions, execution("t2", "d", 10.1)) }},
+		{Leaving, func(h *History) { h.Executions = append(h.Executions, accountExecution("t2", "d", 10.1, openAccount)) }},
 		{Floor, func(h *History) { h.Views[0].Targets[0].Ejected = true }},
 		{ConfigForward, func(h *History) {
 			h.Views = append(h.Views, View{At: atSecond(3), Node: "n1", Incarnation: attempt.Incarnation{StartedMS: 2}, Version: 2})
 		}},
 		{Budget, func(h *History) {
 			for i := range 10 {
-				h.Executions = append(h.Executions, target.Execution{At: atSecond(6), Target: "t1", Request: attempt.RequestID(fmt.Sprint("g", 90+i))})
+				h.Executions = append(h.Executions, target.Execution{At: atSecond(6), Target: "t1", Account: openAccount, Request: attempt.RequestID(fmt.Sprint("g", 90+i))})
 			}
 		}},
 		{PoisonLimit, func(h *History) {
-			h.Executions = append(h.Executions, target.Execution{At: atSecond(3), Target: "t3", Crash: "poison"})
+			h.Executions = append(h.Executions, target.Execution{At: atSecond(3), Target: "t3", Account: openAccount, Crash: "poison"})
 		}},
 		{Recovery, func(h *History) { h.Unready = "n2 is not ready" }},
-		{TargetRates, func(h *History) { h.Executions = append(h.Executions, execution("t4", "", 25)) }},
+		{TargetRates, func(h *History) { h.Executions = append(h.Executions, accountExecution("t4", "", 25, openAccount)) }},
 		{RequestedEnd, func(h *History) { h.Ends[0].Signal, h.Ends[0].Status = "hangup", -1 }}, // during its drain
 		{RequestedEnd, func(h *History) { h.Ends[0].Status = 3 }},                              // as after a second SIGTERM
 		{RequestedEnd, func(h *History) { h.Ends[0].TermAt = time.Time{} }},
 		{RequestedEnd, func(h *History) { h.Ends[1].KillAt = time.Time{} }},
 		{RequestedEnd, func(h *History) { h.Ends[2].Silent = false }},
 		{RequestedEnd, func(h *History) { h.Ends[3].StartedAt = atSecond(3.05) }}, // after the poison request
+		{AccountLimit, func(h *History) {
+			h.Executions = append(h.Executions, accountExecution("t5", "one more", 41, limitedAccount(0)))
+		}},
+		{AccountKey, func(h *History) { h.Calls = append(h.Calls, keyCall(removedKey, 52.6)) }},
+		{AccountKey, func(h *History) { h.Calls = append(h.Calls, keyCall(removedKey, 63.1)) }}, // after a pause
+		{AccountKey, func(h *History) { // another node was paused
+			call := keyCall(removedKey, 59.5)
+			call.Node = "n3"
+			h.Calls = append(h.Calls, call)
+		}},
+		{AccountKey, func(h *History) { h.AddedKeyFails = []string{"node n1: status 401"} }},
+		{AccountKey, func(h *History) { h.Executions[0].SecretIn = attempt.HeaderAccountKey }},
+		{AccountKey, func(h *History) { h.Executions[0].Account = "" }},
+		{AccountKey, func(h *History) { h.Executions[0].Account = limitedAccount(2) }}, // known by its order
+		{AccountKey, func(h *History) {
+			run := accountExecution("t1", "", 6, limitedAccount(2))
+			run.Request = "key"
+			h.Executions = append(h.Executions, run)
+		}},
 	} {
 		h := compliantHistory()
 		c.violate(h)
@@ -149,7 +199,8 @@
 			t.Errorf("seed %d: the poison event is not at the end of the faults", seed)
 		}
 	}
-	if drawnApart := 5; len(seen) != len(kindWeights)+drawnApart { // Poison, NodeReload, StoreRestore, StoreTurnAway and TargetRate
+	// Poison, NodeReload, StoreRestore, StoreTurnAway, TargetRate, KeyChange and AccountSurge.
+	if drawnApart := 7; len(seen) != len(kindWeights)+drawnApart {
 		t.Errorf("only %d of %d kinds are drawn", len(seen), len(kindWeights)+drawnApart)
 	}
 }
@@ -160,7 +211,7 @@
 	hash := fnv.New64a()
 	for seed := range uint64(50) {
 		events := slices.DeleteFunc(NewPlan(seed, 4, 6, 10*time.Second).Events, func(e Event) bool {
-			return slices.Contains([]Kind{NodeReload, StoreRestore, StoreTurnAway, TargetRate}, e.Kind)
+			return slices.Contains([]Kind{NodeReload, StoreRestore, StoreTurnAway, TargetRate, KeyChange, AccountSurge}, e.Kind)
 		})
 		for i := range events {
 			events[i].Reloads, events[i].StartReloads = nil, nil
--- a/soak/client.go
+++ b/soak/client.go
@@ -30,6 +30,7 @@
 type Call struct {
 	Caller     int               `json:"client"`
 	Node       string            `json:"node"`
+	Key        string            `json:"key,omitempty"` // API key, when the configuration has accounts
 	Method     string            `json:"method"`
 	Path       string            `json:"path"`
 	Work       string            `json:"work,omitempty"` // identity of an order
@@ -55,11 +56,15 @@
 	random := rand.New(rand.NewPCG(c.fleet.options.Seed, uint64(callerID)))
 	client := &http.Client{Timeout: clientTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}}
 	n := c.fleet.nodes[random.IntN(len(c.fleet.nodes))]
+	minThink := minThinkTime
+	if c.fleet.accounts && accountOfKey(keyOfCaller(callerID)) != openAccount {
+		minThink += limitedThink
+	}
 	for i := 0; ; i++ {
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(minThinkTime + time.Duration(random.Float64()*float64(thinkTimeRange))):
+		case <-time.After(minThink + time.Duration(random.Float64()*float64(thinkTimeRange))):
 		}
 		if random.IntN(20) == 0 {
 			n = c.fleet.nodes[random.IntN(len(c.fleet.nodes))]
@@ -98,6 +103,9 @@
 // send sends one request and records its result.
 func (c *callers) send(client *http.Client, call Call, n *node) Call {
 	defer func() { call.EndedAt = time.Now(); c.record(call) }()
+	if c.fleet.accounts && call.Key == "" {
+		call.Key = keyOfCaller(call.Caller)
+	}
 	body := io.Reader(http.NoBody)
 	if call.Method == http.MethodPost {
 		body = strings.NewReader("order " + call.Path)
@@ -119,6 +127,10 @@
 	} else if call.Work != "" {
 		req.Header.Set("X-Work", call.Work)
 	}
+	if call.Key != "" {
+		req.Header.Set(attempt.HeaderAccountKey, call.Key)
+		req.Header.Set(attempt.HeaderAccountName, "forged") // must not reach targets
+	}
 	resp, err := client.Do(req)
 	call.recordWrites(written)
 	if err != nil {
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -67,12 +67,16 @@
 
 // fleet holds the processes of the log service, the nodes and the targets.
 type fleet struct {
-	options Options
-	log     *process
-	logURL  string
-	nodes   []*node
-	targets []*targetProcess
-	client  *http.Client
+	options  Options
+	log      *process
+	logURL   string
+	nodes    []*node
+	targets  []*targetProcess
+	client   *http.Client
+	accounts bool // the configuration has accounts
+
+	publishing  sync.RWMutex // held for reading by publishes that keep the keys
+	keysChanged bool         // whether configurations have the changed keys; guarded by publishing
 
 	mu           sync.Mutex
 	started      []*process
@@ -102,8 +106,8 @@
 )
 
 // startFleet starts all processes and waits until the nodes know all targets.
-func startFleet(ctx context.Context, o Options) (*fleet, error) {
-	f := &fleet{options: o, client: &http.Client{Timeout: adminTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
+func startFleet(ctx context.Context, o Options, plan *Plan) (*fleet, error) {
+	f := &fleet{options: o, accounts: plan.has(KeyChange), client: &http.Client{Timeout: adminTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
 	var err error
 	if f.log, err = f.start("log", "hyssopsill-standin", "log", "--listen", anyPort); err != nil {
 		return f, err
@@ -203,7 +207,7 @@
 func (f *fleet) startTarget(ctx context.Context, target *targetProcess) error {
 	p, err := f.start(target.id, "hyssopsill-standin", "target", "--id", target.id, "--service", service, "--node", "http://"+target.node.announce,
 		"--ttl", targetTTL.String(), "--slots", strconv.Itoa(slots), "--listen", target.address, "--control", target.control,
-		"--executions", f.executionsFile())
+		"--executions", f.executionsFile(), "--secret", keyPrefix)
 	if err != nil {
 		return err
 	}
@@ -222,19 +226,31 @@
 
 func (f *fleet) executionsFile() string { return filepath.Join(f.options.Dir, "executions.jsonl") }
 
-// publish publishes a new configuration with the command that operators use.
+// publish publishes a new configuration that keeps the keys.
 func (f *fleet) publish(ctx context.Context) error {
+	f.publishing.RLock()
+	defer f.publishing.RUnlock()
+	return f.publishConfig(ctx)
+}
+
+// publishConfig publishes a new configuration with the command that operators use and
+// the given options.
+func (f *fleet) publishConfig(ctx context.Context, options ...string) error {
 	f.mu.Lock()
 	f.publications++
 	number := f.publications
 	f.mu.Unlock()
 	file := filepath.Join(f.options.Dir, fmt.Sprintf("config-%d.toml", number))
-	if err := os.WriteFile(file, fmt.Appendf(nil, configText, baseDeadlineMS+number), 0o600); err != nil {
+	text := fmt.Appendf(nil, configText, baseDeadlineMS+number)
+	if f.accounts {
+		text = append(text, accountsConfig(f.keysChanged)...)
+	}
+	if err := os.WriteFile(file, text, 0o600); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxWait)
 	defer cancel()
-	args := []string{"config", "publish", "--author", "soak", "--log", f.logURL}
+	args := append([]string{"config", "publish", "--author", "soak", "--log", f.logURL}, options...)
 	for _, n := range f.nodes {
 		args = append(args, "--node", "http://"+n.admin)
 	}
--- a/soak/history.go
+++ b/soak/history.go
@@ -49,12 +49,16 @@
 	Drains     []Drain            `json:"drains"`
 	RateLimits []RateLimit        `json:"rate_limits"`
 	Restarts   []time.Time        `json:"starts"` // of node processes, without the first ones
+	Pauses     []Pause            `json:"pauses"` // of node processes
 	Views      []View             `json:"views"`
 	Stuck      []string           `json:"stuck"`   // nodes that did not exit by themselves
 	Unready    string             `json:"unready"` // why the fleet did not recover
 	Notes      []string           `json:"notes"`   // faults that could not be injected
 	Ends       []ProcessEnd       `json:"ends"`
 
+	KeysChangedAt time.Time `json:"keys_changed,omitzero"`     // when the publish that changes keys was accepted
+	AddedKeyFails []string  `json:"added_key_fails,omitempty"` // nodes at which the added key does not work at the end
+
 	mu sync.Mutex
 }
 
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -33,6 +34,9 @@
 type injector struct {
 	fleet   *fleet
 	history *History
+	load    *callers
+
+	surgeCallers atomic.Int64 // callers of surges so far
 }
 
 // injectFaults injects the faults of the plan at their times and waits until all have
@@ -85,7 +89,11 @@
 		defer n.proxy.Reset() // data has been lost from the open connections
 		defer n.proxy.Drop(false, false)
 	case NodePause:
-		return in.pause(ctx, f.current(&n.process), e.Duration)
+		pause := Pause{Node: n.name, From: time.Now()}
+		err := in.pause(ctx, f.current(&n.process), e.Duration)
+		pause.To = time.Now()
+		in.history.withLock(func() { in.history.Pauses = append(in.history.Pauses, pause) })
+		return err
 	case NodeStop, NodeKill:
 		return in.restartNode(ctx, n, e)
 	case NodeReload:
@@ -109,6 +117,11 @@
 		return in.restoreLog(ctx, e.Duration)
 	case Publish:
 		return f.publish(ctx)
+	case KeyChange:
+		return in.changeKeys(ctx, e.Duration)
+	case AccountSurge:
+		in.surge(ctx, e.Subject, e.Duration)
+		return nil
 	}
 	sleep(ctx, e.Duration)
 	return nil
@@ -240,7 +253,7 @@
 	sender := callers{fleet: in.fleet, record: func(Call) {}}
 	client := &http.Client{Timeout: clientTimeout}
 	for range poisonRequests {
-		sender.send(client, Call{Method: http.MethodGet, Path: "/kits?echo=" + text}, n)
+		sender.send(client, Call{Caller: callerCount - 1, Method: http.MethodGet, Path: "/kits?echo=" + text}, n)
 	}
 	for _, target := range in.fleet.targets {
 		if target.running() {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -35,9 +35,11 @@
 	StoreRestore Kind = "store-restore" // it comes back from a copy of an age
 	// StoreTurnAway leaves all nodes but the subject without responses of the log service.
 	StoreTurnAway Kind = "store-turn-away"
-	TargetRate    Kind = "target-rate" // it names the rate of requests that it takes
-	Publish       Kind = "publish"     // an operator publishes a configuration
-	Poison        Kind = "poison"      // a request that crashes targets
+	TargetRate    Kind = "target-rate"   // it names the rate of requests that it takes
+	Publish       Kind = "publish"       // an operator publishes a configuration
+	KeyChange     Kind = "key-change"    // a publish removes an API key and adds one
+	AccountSurge  Kind = "account-surge" // a limited account, the subject, sends much more
+	Poison        Kind = "poison"        // a request that crashes targets
 )
 
 // kindWeights gives the relative frequency of each kind of fault.
@@ -56,7 +58,7 @@
 	At       time.Duration `json:"at"`
 	Duration time.Duration `json:"for"`
 	Kind     Kind          `json:"kind"`
-	Subject  int           `json:"subject"` // index of a node or target
+	Subject  int           `json:"subject"` // index of a node, target or limited account
 
 	// Times of SIGHUP, relative to the start of NodeReload or the SIGTERM of NodeStop,
 	// and to the restart of the node.
@@ -119,6 +121,7 @@
 	p.addRestores(rand.New(rand.NewPCG(seed, 0x4e57)))
 	p.addTurnAways(rand.New(rand.NewPCG(seed, 0x7a4a)))
 	p.addTargetRates(rand.New(rand.NewPCG(seed, 0x4a7e)))
+	p.addAccounts(rand.New(rand.NewPCG(seed, 0xacc4)))
 	slices.SortStableFunc(p.Events, func(a, b Event) int { return int(a.At - b.At) })
 	return p
 }
--- a/soak/report.go
+++ b/soak/report.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"html/template"
 	"image/color"
+	"net/http"
 	"os"
 	"path/filepath"
 	"time"
@@ -31,14 +32,40 @@
 	Views      int            `json:"views"`
 	Stops      int            `json:"stops"`
 	Ends       map[string]int `json:"ends"` // ended processes by exit status or signal
+	Limits     LimitReport    `json:"limits"`
 	Violations []Violation    `json:"violations"`
 	Notes      []string       `json:"notes"`
 	Dir        string         `json:"dir"`
 }
 
+// LimitReport tells how much the guarantees of accounts were exercised. All counts are 0
+// in a run without accounts.
+type LimitReport struct {
+	LimitedRuns     int `json:"limited_runs"`    // requests of accounts with a limit
+	BusiestWindow   int `json:"busiest_window"`  // most requests of one of these accounts in a window
+	Refused         int `json:"refused"`         // calls of these accounts with status 429
+	Unauthenticated int `json:"unauthenticated"` // calls with status 401
+}
+
+func newLimitReport(h *History) (r LimitReport) {
+	for _, runs := range limitedRuns(h) {
+		most, _ := busiestWindow(runs)
+		r.LimitedRuns, r.BusiestWindow = r.LimitedRuns+len(runs), max(r.BusiestWindow, most)
+	}
+	for i := range h.Calls {
+		switch c := &h.Calls[i]; {
+		case c.Status == http.StatusUnauthorized:
+			r.Unauthenticated++
+		case c.Status == http.StatusTooManyRequests && accountOfKey(c.Key) != openAccount:
+			r.Refused++
+		}
+	}
+	return r
+}
+
 func newReport(o Options, h *History) (Report, error) {
 	r := Report{Seed: o.Seed, Seconds: time.Since(h.StartedAt).Seconds(), Events: map[Kind]int{}, Calls: len(h.Calls), Outcomes: map[string]int{}, Ends: map[string]int{},
-		Executions: len(h.Executions), Views: len(h.Views), Stops: len(h.Stops), Violations: Check(h), Notes: h.Notes, Dir: o.Dir}
+		Executions: len(h.Executions), Views: len(h.Views), Stops: len(h.Stops), Limits: newLimitReport(h), Violations: Check(h), Notes: h.Notes, Dir: o.Dir}
 	r.OK = len(r.Violations) == 0
 	for _, e := range h.Plan.Events {
 		r.Events[e.Kind]++
--- a/soak/run.go
+++ b/soak/run.go
@@ -57,12 +57,12 @@
 		return Report{}, err
 	}
 	h := &History{Plan: NewPlan(o.Seed, o.Nodes, o.Targets, o.Faults), StartedAt: time.Now()}
-	f, err := startFleet(ctx, o)
+	f, err := startFleet(ctx, o, &h.Plan)
 	defer f.killAll() // also when the soak itself fails
 	if err != nil {
 		return Report{}, err
 	}
-	in := &injector{fleet: f, history: h}
+	in := &injector{fleet: f, history: h, load: &callers{fleet: f, record: func(call Call) { h.withLock(func() { h.Calls = append(h.Calls, call) }) }}}
 	err = in.runPlan(ctx)
 	h.Stuck = append(h.Stuck, f.stop(context.WithoutCancel(ctx))...)
 	h.Ends = f.ends()
@@ -78,9 +78,8 @@
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
 	var wg sync.WaitGroup
-	load := &callers{fleet: in.fleet, record: func(call Call) { in.history.withLock(func() { in.history.Calls = append(in.history.Calls, call) }) }}
 	for i := range callerCount {
-		wg.Go(func() { load.run(loadCtx, i) })
+		wg.Go(func() { in.load.run(loadCtx, i) })
 	}
 	for _, n := range in.fleet.nodes {
 		wg.Go(func() { in.recordViews(loadCtx, n) })
@@ -99,6 +98,7 @@
 	if in.history.Unready != "" {
 		return ctx.Err()
 	}
+	in.useAddedKey()
 	if err := in.sendPoison(ctx); err != nil {
 		in.history.notef("poison: %v", err)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -47,7 +47,7 @@
 	{32, 8 * time.Second, "recovery: the soak left a target leaving after a drain that failed, not a fault of the fleet"},
 }
 
-func runSoak(t *testing.T, o Options) {
+func runSoak(t *testing.T, o Options) Report {
 	t.Helper()
 	o.Binaries, o.Dir = binaries, filepath.Join(t.TempDir(), "run")
 	report, err := Run(context.Background(), o)
@@ -65,12 +65,20 @@
 			t.Error(err)
 		}
 	}
+	return report
 }
 
-// Guards against violations under faults, and against a soak that observes nothing.
+// Guards against violations under faults, and against a soak that observes nothing. The
+// plan of the seed has accounts.
 func TestShortSoak(t *testing.T) {
 	t.Parallel()
-	runSoak(t, Options{Seed: 3, Faults: 4 * time.Second})
+	report := runSoak(t, Options{Seed: 3, Faults: 4 * time.Second})
+	if report.Limits.LimitedRuns == 0 || report.Limits.Unauthenticated == 0 {
+		t.Errorf("no request of a limited account ran or no key was refused: %+v", report)
+	}
+	if report.Events[AccountSurge] == 0 {
+		t.Errorf("the plan lacks a surge: %v", report.Events)
+	}
 }
 
 // Guards against the return of failures that earlier seeds found.
