--- a/cmd/hyssopsill/soak.go
+++ b/cmd/hyssopsill/soak.go
@@ -108,6 +108,7 @@
 		fmt.Fprintf(w, "  limited accounts: %d requests ran, at most %d of one account in a window, %d refused with 429; %d calls refused with 401\n",
 			l.LimitedRuns, l.BusiestWindow, l.Refused, l.Unauthenticated)
 	}
+	fmt.Fprintf(w, "  largest resident memory of a node: %d KiB\n", report.PeakKiB)
 	for _, v := range report.Violations {
 		fmt.Fprintf(w, "  %s: %s\n", v.Guarantee, v.Detail)
 	}
--- a/soak/check.go
+++ b/soak/check.go
@@ -32,6 +32,7 @@
 	RequestedEnd  Guarantee = "requested-end"   // a process ends only by what the soak did
 	AccountLimit  Guarantee = "account-limit"   // no more requests of an account run than its limit allows
 	AccountKey    Guarantee = "key"             // changed keys are in force in time, and targets see accounts but no keys
+	Memory        Guarantee = "memory"          // a node stays within the memory of its settings
 )
 
 // Violation describes one case in which a guarantee did not hold.
@@ -64,7 +65,7 @@
 		{GracefulStop, func(h *History) []string { return h.Stuck }}, {Leaving, checkLeaving}, {Floor, checkFloor},
 		{ConfigForward, checkConfigForward}, {Budget, checkBudget}, {PoisonLimit, checkPoison}, {Recovery, checkRecovery},
 		{RequestedEnd, checkEnds}, {TargetRates, checkRates}, {AccountLimit, checkAccountLimits},
-		{AccountKey, checkKeys},
+		{AccountKey, checkKeys}, {Memory, checkMemory},
 	} {
 		for _, detail := range c.check(h) {
 			out = append(out, Violation{c.guarantee, detail})
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -62,7 +62,7 @@
 	for i := range 23 { // as many as 1.5 times the rate and 5 allow in 4 s
 		h.Executions = append(h.Executions, execution("t4", "", 23+float64(i)*0.17))
 	}
-	h.Plan.Events = []Event{{Kind: KeyChange}}
+	h.Plan.Events = []Event{{Kind: KeyChange}, {Kind: HostileLines}}
 	for i := range 97 { // as many as the limit allows in a window
 		h.Executions = append(h.Executions, target.Execution{At: atSecond(40 + float64(i)*0.05), Target: "t5", Account: limitedAccount(0), Request: attempt.RequestID(fmt.Sprint("l", i))})
 	}
@@ -75,6 +75,7 @@
 	refused := keyCall(removedKey, 55)
 	refused.Status, refused.Outcome, refused.Reason = 401, attempt.NotRun, attempt.ReasonUnauthenticated
 	h.Calls = append(h.Calls, keyCall(removedKey, 52.4), keyCall(removedKey, 62.9), keyCall(addedKey, 55), refused)
+	h.Ends[0].PeakKiB = hostMemoryKiB
 	for i := range 39 { // a tenth of the first runs, and one per second for each node
 		h.Executions = append(h.Executions, target.Execution{At: atSecond(5), Target: "t2", Request: attempt.RequestID(fmt.Sprint("g", i))})
 	}
@@ -169,6 +170,7 @@
 			run.Request = "key"
 			h.Executions = append(h.Executions, run)
 		}},
+		{Memory, func(h *History) { h.Ends[0].PeakKiB++ }},
 	} {
 		h := compliantHistory()
 		c.violate(h)
@@ -200,7 +202,7 @@
 		}
 	}
 	// Poison, NodeReload, StoreRestore, StoreTurnAway, TargetRate, KeyChange and AccountSurge.
-	if drawnApart := 7; len(seen) != len(kindWeights)+drawnApart {
+	if drawnApart := 7 + len(hostileKinds); len(seen) != len(kindWeights)+drawnApart {
 		t.Errorf("only %d of %d kinds are drawn", len(seen), len(kindWeights)+drawnApart)
 	}
 }
@@ -211,7 +213,7 @@
 	hash := fnv.New64a()
 	for seed := range uint64(50) {
 		events := slices.DeleteFunc(NewPlan(seed, 4, 6, 10*time.Second).Events, func(e Event) bool {
-			return slices.Contains([]Kind{NodeReload, StoreRestore, StoreTurnAway, TargetRate, KeyChange, AccountSurge}, e.Kind)
+			return slices.Contains(append([]Kind{NodeReload, StoreRestore, StoreTurnAway, TargetRate, KeyChange, AccountSurge}, hostileKinds...), e.Kind)
 		})
 		for i := range events {
 			events[i].Reloads, events[i].StartReloads = nil, nil
--- a/soak/end.go
+++ b/soak/end.go
@@ -15,7 +15,8 @@
 	EndedAt   time.Time `json:"ended"`
 	Status    int       `json:"status"` // exit status, -1 after a signal
 	Signal    string    `json:"signal,omitempty"`
-	Silent    bool      `json:"silent,omitempty"` // it ended before its first line of output
+	Silent    bool      `json:"silent,omitempty"`   // it ended before its first line of output
+	PeakKiB   int64     `json:"peak_kib,omitempty"` // resident memory of a node, read at intervals
 	// Times of the first SIGTERM and SIGKILL and of the last SIGHUP.
 	TermAt   time.Time `json:"sigterm,omitzero"`
 	KillAt   time.Time `json:"sigkill,omitzero"`
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -67,13 +67,15 @@
 
 // fleet holds the processes of the log service, the nodes and the targets.
 type fleet struct {
-	options  Options
-	log      *process
-	logURL   string
-	nodes    []*node
-	targets  []*targetProcess
-	client   *http.Client
-	accounts bool // the configuration has accounts
+	options Options
+	log     *process
+	logURL  string
+	nodes   []*node
+	targets []*targetProcess
+	client  *http.Client
+	// The configuration has accounts, and the settings the memory of the host, when the
+	// plan needs them.
+	accounts, memoryBound bool
 
 	publishing  sync.RWMutex // held for reading by publishes that keep the keys
 	keysChanged bool         // whether configurations have the changed keys; guarded by publishing
@@ -107,7 +109,7 @@
 
 // startFleet starts all processes and waits until the nodes know all targets.
 func startFleet(ctx context.Context, o Options, plan *Plan) (*fleet, error) {
-	f := &fleet{options: o, accounts: plan.has(KeyChange), client: &http.Client{Timeout: adminTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
+	f := &fleet{options: o, accounts: plan.has(KeyChange), memoryBound: plan.has(hostileKinds...), client: &http.Client{Timeout: adminTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
 	var err error
 	if f.log, err = f.start("log", "hyssopsill-standin", "log", "--listen", anyPort); err != nil {
 		return f, err
@@ -176,6 +178,9 @@
 [advertise]
 peer_data = %q
 `, n.name, n.domain, fleetToken, "http://"+n.logProxy.Address(), strings.Join(seeds, ", "), n.caller, n.data, n.control, n.announce, n.admin, n.proxy.Address())
+	if f.memoryBound {
+		text += fmt.Sprintf("[limits]\nmemory = \"%dKiB\"\n", hostMemoryKiB)
+	}
 	if err := os.WriteFile(n.settingsFile, []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -336,6 +341,7 @@
 func (f *fleet) stop(ctx context.Context) (stuck []string) {
 	for _, n := range f.nodes {
 		if n.process != nil {
+			n.recordMemory()
 			n.signal(syscall.SIGCONT)
 			n.signal(syscall.SIGTERM)
 		}
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -122,6 +122,9 @@
 	case AccountSurge:
 		in.surge(ctx, e.Subject, e.Duration)
 		return nil
+	case HostileLines, HostileHeads, HostileSlow, HostileSilent, HostileUnread:
+		in.sendCrowd(ctx, n, e.Kind, e.Duration)
+		return nil
 	}
 	sleep(ctx, e.Duration)
 	return nil
@@ -175,6 +178,7 @@
 func (in *injector) restartNode(ctx context.Context, n *node, e Event) error {
 	n.restartMu.Lock()
 	defer n.restartMu.Unlock()
+	n.recordMemory()
 	if e.Kind == NodeKill {
 		n.signal(syscall.SIGKILL)
 	} else {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -39,7 +39,13 @@
 	Publish       Kind = "publish"       // an operator publishes a configuration
 	KeyChange     Kind = "key-change"    // a publish removes an API key and adds one
 	AccountSurge  Kind = "account-surge" // a limited account, the subject, sends much more
-	Poison        Kind = "poison"        // a request that crashes targets
+	// Crowds of hostile clients of a node.
+	HostileLines  Kind = "hostile-lines"  // many short header lines
+	HostileHeads  Kind = "hostile-heads"  // heads without an end
+	HostileSlow   Kind = "hostile-slow"   // one byte a second
+	HostileSilent Kind = "hostile-silent" // connections without requests
+	HostileUnread Kind = "hostile-unread" // responses are never read
+	Poison        Kind = "poison"         // a request that crashes targets
 )
 
 // kindWeights gives the relative frequency of each kind of fault.
@@ -122,6 +128,7 @@
 	p.addTurnAways(rand.New(rand.NewPCG(seed, 0x7a4a)))
 	p.addTargetRates(rand.New(rand.NewPCG(seed, 0x4a7e)))
 	p.addAccounts(rand.New(rand.NewPCG(seed, 0xacc4)))
+	p.addHostileClients(rand.New(rand.NewPCG(seed, 0xc209)))
 	slices.SortStableFunc(p.Events, func(a, b Event) int { return int(a.At - b.At) })
 	return p
 }
--- a/soak/report.go
+++ b/soak/report.go
@@ -33,6 +33,7 @@
 	Stops      int            `json:"stops"`
 	Ends       map[string]int `json:"ends"` // ended processes by exit status or signal
 	Limits     LimitReport    `json:"limits"`
+	PeakKiB    int64          `json:"peak_kib"` // largest resident memory of a node
 	Violations []Violation    `json:"violations"`
 	Notes      []string       `json:"notes"`
 	Dir        string         `json:"dir"`
@@ -72,6 +73,7 @@
 	}
 	for i := range h.Ends {
 		r.Ends[h.Ends[i].cause()]++
+		r.PeakKiB = max(r.PeakKiB, h.Ends[i].PeakKiB)
 	}
 	for i := range h.Calls {
 		r.Outcomes[outcomeOf(&h.Calls[i])]++
--- a/soak/run.go
+++ b/soak/run.go
@@ -84,6 +84,7 @@
 	for _, n := range in.fleet.nodes {
 		wg.Go(func() { in.recordViews(loadCtx, n) })
 	}
+	wg.Go(func() { in.recordMemory(loadCtx) })
 	in.injectFaults(ctx)
 	if err := in.clearFaults(ctx); err != nil {
 		stopLoad()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -69,15 +69,19 @@
 }
 
 // Guards against violations under faults, and against a soak that observes nothing. The
-// plan of the seed has accounts.
+// plan of the seed has accounts and hostile clients.
 func TestShortSoak(t *testing.T) {
 	t.Parallel()
 	report := runSoak(t, Options{Seed: 3, Faults: 4 * time.Second})
-	if report.Limits.LimitedRuns == 0 || report.Limits.Unauthenticated == 0 {
-		t.Errorf("no request of a limited account ran or no key was refused: %+v", report)
+	if report.Limits.LimitedRuns == 0 || report.Limits.Unauthenticated == 0 || report.PeakKiB == 0 {
+		t.Errorf("no request of a limited account ran, no key was refused or no memory was read: %+v", report)
 	}
-	if report.Events[AccountSurge] == 0 {
-		t.Errorf("the plan lacks a surge: %v", report.Events)
+	crowds := 0
+	for _, kind := range hostileKinds {
+		crowds += report.Events[kind]
+	}
+	if crowds == 0 || report.Events[AccountSurge] == 0 {
+		t.Errorf("the plan lacks a surge or hostile clients: %v", report.Events)
 	}
 }
 
