--- a/soak/accounts.go
+++ b/soak/accounts.go
@@ -17,12 +17,13 @@
 const (
 	accountShare    = 0.5 // share of plans with accounts
 	limitedAccounts = 3
-	accountRate     = 12 // requests/s; the usual demand is below 10, also on a fast machine
+	accountRate     = 12 // requests/s; above the usual demand
 	accountBurst    = 10
 	limitedThink    = 80 * time.Millisecond // further time between requests of an account with a limit
+	usualDemand     = 10                    // requests/s of an account with a limit, at most
 	surgeFactor     = 6                     // demand of an account in a surge, as a multiple of its usual one
 	maxSurges       = 2
-	minSurgeTime    = 3 * time.Second
+	minSurgeTime    = 4 * time.Second
 	surgeTimeRange  = 2 * time.Second
 
 	// Bound on the requests of an account that run in a window, with the defaults of
@@ -89,14 +90,11 @@
 	return b.String()
 }
 
-// keyOfCaller returns the API key that a caller sends. Callers from callerCount on are
-// those of surges.
+// keyOfCaller returns the API key that a caller sends.
 func keyOfCaller(callerID int) string {
 	switch {
 	case callerID < limitedAccounts:
 		return keyPrefix + limitedAccount(callerID)
-	case callerID >= callerCount:
-		return keyPrefix + limitedAccount((callerID-callerCount)%limitedAccounts)
 	case callerID == removedCaller:
 		return removedKey
 	case callerID == addedCaller:
@@ -113,15 +111,20 @@
 	return strings.TrimPrefix(key, keyPrefix)
 }
 
-// surge adds callers of a limited account for the duration d.
+// surge sends further requests of a limited account for the duration d. It does not
+// wait for their responses, since slow responses would reduce the demand.
 func (in *injector) surge(ctx context.Context, account int, d time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, d)
 	defer cancel()
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	for range surgeFactor - 1 {
-		callerID := callerCount + limitedAccounts*int(in.surgeCallers.Add(1)) + account
-		wg.Go(func() { in.load.run(ctx, callerID) })
+	client := &http.Client{Timeout: clientTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: surgeFactor, IdleConnTimeout: time.Minute}}
+	defer client.CloseIdleConnections()
+	for i := 0; sleep(ctx, time.Second/((surgeFactor-1)*usualDemand)); i++ {
+		n := in.fleet.nodes[i%len(in.fleet.nodes)]
+		wg.Go(func() {
+			in.load.send(client, Call{Caller: account, Node: n.name, Method: http.MethodGet, Path: fmt.Sprintf("/kits?echo=s%d&work_ms=%d", i, workMS)}, n)
+		})
 	}
 }
 
--- a/soak/hostile.go
+++ b/soak/hostile.go
@@ -19,7 +19,7 @@
 	maxCrowds        = 3
 	minCrowdTime     = 2 * time.Second
 	crowdTimeRange   = 2 * time.Second
-	clientsPerPlace  = 30 // on each listener; with the largest heads these need more than the memory of a node
+	clientsPerPlace  = 50 // on each listener; with the largest heads these need more than the memory of a node
 	slowByteInterval = time.Second
 	// hostMemoryKiB is the memory of a node's host in plans with hostile clients. The
 	// smallest hosts have 184 MB; a smaller one needs fewer clients.
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -35,8 +34,6 @@
 	fleet   *fleet
 	history *History
 	load    *callers
-
-	surgeCallers atomic.Int64 // callers of surges so far
 }
 
 // injectFaults injects the faults of the plan at their times and waits until all have
