version/membership: the simulation counts bytes by content and by domain

The fleet in the simulation only counted all bytes and the payload by kind of message. It now also counts what crosses a failure domain and what the bytes consist of, and takes the spread of the nodes over domains.

--- a/version/membership/sim_test.go
+++ b/version/membership/sim_test.go
@@ -53,6 +53,8 @@
 	options             Options // switches and times of each node
 	bytes               int64   // sent, including callOverhead
 	byKind              [KindDeltas + 1]int64
+	crossBytes          int64            // the part of bytes sent to another failure domain
+	byContent           map[string]int64 // bytes, by what they consist of
 	inFlight            []delivery
 	incarnationOffsetMS int64
 }
@@ -65,7 +67,7 @@
 }
 
 func newFleet(seed uint64) *fleet {
-	return &fleet{now: epoch, random: rand.New(rand.NewPCG(seed, 1)), nodesByAddress: map[string]*fleetNode{}}
+	return &fleet{now: epoch, random: rand.New(rand.NewPCG(seed, 1)), nodesByAddress: map[string]*fleetNode{}, byContent: map[string]int64{}}
 }
 
 func (f *fleet) start(name, domain string, targets int) *fleetNode {
@@ -142,12 +144,46 @@
 				}
 			}
 		}
+		f.countContent(&s.Message, len(data))
+		if ok && to.self.meta.Domain != from.self.meta.Domain {
+			f.crossBytes += int64(len(data)) + callOverhead/2
+		}
 		if ok && (f.partitioned == nil || !f.partitioned(from, to)) {
 			f.inFlight = append(f.inFlight, delivery{at: f.now.Add(10 * time.Millisecond), to: to, from: s.Message.From, data: data})
 		}
 	}
 }
 
+// countContent counts the bytes of one message by what they consist of.
+func (f *fleet) countContent(m *Message, size int) {
+	reports, targets, state := 0, 0, 0
+	for _, d := range m.Deltas {
+		all := deltaBytes(&d)
+		reportBytes := 0
+		if d.Reports != nil {
+			reportBytes = len(d.Reports.Data)
+		}
+		reports += reportBytes
+		d.Reports = nil
+		withTargets := deltaBytes(&d)
+		d.Meta, d.Targets, d.HasTargets, d.Patch = nil, nil, false, nil
+		targets += withTargets - deltaBytes(&d)
+		state += all - reportBytes - (withTargets - deltaBytes(&d))
+	}
+	digests := 8 * len(m.Buckets)
+	for _, v := range m.Versions {
+		w := &writer{}
+		w.memberVersion(v)
+		digests += len(w.b)
+	}
+	for content, n := range map[string]int{
+		"reports": reports, "targets": targets, "states": state, "digests": digests,
+		"headers": size - reports - targets - state - digests, "calls": callOverhead / 2,
+	} {
+		f.byContent[content] += int64(n)
+	}
+}
+
 // joinWithoutTraffic makes all nodes know each other without the traffic of joining.
 func (f *fleet) joinWithoutTraffic() {
 	for _, n := range f.nodes {
@@ -204,6 +240,10 @@
 func domainOf(i int) string { return fmt.Sprintf("%c%d", 'a'+i%3, i/3%3) }
 
 func newRunningFleet(seed uint64, n, targets int, o Options) *fleet {
+	return newFleetInDomains(seed, n, targets, o, domainOf)
+}
+
+func newFleetInDomains(seed uint64, n, targets int, o Options, domainOf func(int) string) *fleet {
 	f := newFleet(seed)
 	f.options = o
 	for i := range n {
