version/membership: a change is not sent back to the node that sent it

A node that received a change in a ping put it at the head of its queue and sent it back in the ack, so that one of the four sends of a report was lost. The queue now notes the source of a change and skips it.

--- a/version/membership/membership.go
+++ b/version/membership/membership.go
@@ -73,7 +73,7 @@
 
 	// Each switch turns one mechanism off, for the tests that show which failure
 	// it prevents.
-	noRefute, noIndirect, noAntiEntropy, noDeadCheck, noPauseCheck, noUrgent, noPairCheck, noRejoin bool
+	noRefute, noIndirect, noAntiEntropy, noDeadCheck, noPauseCheck, noUrgent, noPairCheck, noRejoin, noSourceCheck bool
 }
 
 // Local is the state that the node publishes about itself.
@@ -110,7 +110,8 @@
 	serving            bool
 	superseded         bool
 	joined             bool
-	suspectedBySender  bool // in the message that is being handled
+	suspectedBySender  bool   // in the message that is being handled
+	receivingFrom      string // sender of the deltas that are being applied
 	targetsPublishedAt time.Time
 	nextReport         time.Time
 
--- a/version/membership/queue.go
+++ b/version/membership/queue.go
@@ -20,7 +20,8 @@
 	part             part
 	sendCount        int
 	urgentRoundsLeft int
-	removed          bool // replaced or finished
+	source           string // node that sent it to this node, which does not need it back
+	removed          bool   // replaced or finished
 }
 
 // queue holds changes ordered by the number of sends, then by arrival. One level per
@@ -57,7 +58,7 @@
 }
 
 // visit calls send for the changes in order until more is false, and skips those
-// of one node. Changes that were sent move to the next level.
+// of one node and those that it sent. Changes that were sent move to the next level.
 func (q *queue) visit(skip string, send func(*queuedChange) (sent, more bool)) {
 	var moved []*queuedChange
 	more := true
@@ -71,7 +72,7 @@
 			if change.removed || change.sendCount != i {
 				continue
 			}
-			if change.key.node == skip {
+			if change.key.node == skip || change.source == skip {
 				remaining = append(remaining, change)
 				continue
 			}
@@ -111,6 +112,9 @@
 
 func (m *Membership) enqueue(key queueKey, p part, urgent bool) {
 	change := &queuedChange{key: key, part: p}
+	if key.node != m.self.node && !m.options.noSourceCheck {
+		change.source = m.receivingFrom
+	}
 	if urgent && !m.options.noUrgent {
 		change.urgentRoundsLeft = urgentGossipRounds
 	}
@@ -140,7 +144,7 @@
 		return true
 	}
 	for _, change := range m.queue.urgent {
-		if !change.removed && change.key.node != to {
+		if !change.removed && change.key.node != to && change.source != to {
 			add(change)
 		}
 	}
--- a/version/membership/receive.go
+++ b/version/membership/receive.go
@@ -20,12 +20,14 @@
 	m.joined, m.suspectedBySender = true, false
 	toRequest := map[string]bool{}
 	m.markReachable(msg, toRequest)
+	m.receivingFrom = from
 	for i := range msg.Deltas {
 		m.applyDelta(now, &msg.Deltas[i], toRequest)
 		if m.superseded {
 			return nil
 		}
 	}
+	m.receivingFrom = ""
 	var out []OutgoingMessage
 	response := Message{}
 	switch msg.Kind {
