version/membership: most messages go to the own failure domain

Pings, urgent gossip and anti-entropy went to uniformly chosen nodes, so that with four domains three quarters of the bytes crossed a boundary. Now a quarter of them does (2/n of a domain with n < 8 nodes, never more than with uniform peers). The message format is unchanged, so nodes of both versions work together.

The first hop of a node's own urgent change goes to uniformly chosen peers, and an own change brings the next ping forward.

--- a/version/membership/membership.go
+++ b/version/membership/membership.go
@@ -73,7 +73,7 @@
 
 	// Each switch turns one mechanism off, for the tests that show which failure
 	// it prevents.
-	noRefute, noIndirect, noAntiEntropy, noDeadCheck, noPauseCheck, noUrgent, noPairCheck, noRejoin, noSourceCheck bool
+	noRefute, noIndirect, noAntiEntropy, noDeadCheck, noPauseCheck, noUrgent, noPairCheck, noRejoin, noLocality, noDomainProbes, noSourceCheck bool
 }
 
 // Local is the state that the node publishes about itself.
@@ -126,10 +126,17 @@
 	nextPrune        time.Time
 	pausedUntil      time.Time
 	pingOrder        []string
-	probes           []probe
-	relays           []relay
-	seq              uint64
-	view             *View
+	// otherDomainsPingOrder is the round of the members of other failure domains.
+	// One of them is pinged when otherDomainsDue, the sum of the shares since then,
+	// reaches 1.
+	otherDomainsPingOrder []string
+	otherDomainsDue       float64
+	hasOwnChange          bool // not sent by a ping yet
+	pingBroughtForward    bool // the next ping was sent before it was due
+	probes                []probe
+	relays                []relay
+	seq                   uint64
+	view                  *View
 }
 
 // New returns the membership of a node that knows only itself.
@@ -150,6 +157,7 @@
 		node: o.Node, incarnation: o.Incarnation, version: 1, targetsVersion: 1, declared: NodeAlive,
 		meta: Meta{Region: o.Region, Domain: o.Domain, DataAddress: o.DataAddress, ControlAddress: o.ControlAddress},
 	}
+	m.otherDomainsDue = random.Float64()
 	m.insert(m.self)
 	m.enqueueFull(m.self)
 	return m
--- a/version/membership/queue.go
+++ b/version/membership/queue.go
@@ -1,5 +1,7 @@
 package membership
 
+import "slices"
+
 // part is how much of a member's state a queued change sends.
 type part uint8
 
@@ -112,7 +114,9 @@
 
 func (m *Membership) enqueue(key queueKey, p part, urgent bool) {
 	change := &queuedChange{key: key, part: p}
-	if key.node != m.self.node && !m.options.noSourceCheck {
+	if key.node == m.self.node {
+		m.hasOwnChange = true
+	} else if !m.options.noSourceCheck {
 		change.source = m.receivingFrom
 	}
 	if urgent && !m.options.noUrgent {
@@ -164,6 +168,12 @@
 	return out
 }
 
+func (m *Membership) hasOwnUrgentChange() bool {
+	return slices.ContainsFunc(m.queue.urgent, func(change *queuedChange) bool {
+		return !change.removed && change.key.node == m.self.node
+	})
+}
+
 // endUrgentRound counts a round of urgent gossip. A change without rounds left is
 // then sent like any other.
 func (m *Membership) endUrgentRound() {
--- a/version/membership/tick.go
+++ b/version/membership/tick.go
@@ -37,15 +37,13 @@
 	out = m.checkProbes(now, out)
 	m.expireSuspicions(now)
 	m.pruneTombstones(now)
-	if m.due(&m.nextPing, now, m.options.PingInterval) {
-		out = m.pingNext(now, out)
-	}
+	out = m.pingWhenDue(now, out)
 	out = m.verifyClaims(now, out)
 	if m.due(&m.nextUrgentGossip, now, urgentGossipInterval) {
 		out = m.gossipUrgent(out)
 	}
 	if m.due(&m.nextAntiEntropy, now, m.options.AntiEntropyInterval) && !m.options.noAntiEntropy {
-		for _, member := range m.randomMembers(1, isPresent) {
+		for _, member := range m.nearbyMembers(1) {
 			out = append(out, m.digestMessage(member.node, member.meta.ControlAddress))
 		}
 	}
@@ -95,18 +93,48 @@
 	return OutgoingMessage{To: member.node, Address: member.meta.ControlAddress, Message: msg}
 }
 
+// pingWhenDue sends a ping per interval. A change of this node brings the next ping
+// forward and leaves the one after it at its time, so that the change is known sooner
+// without more pings.
+func (m *Membership) pingWhenDue(now time.Time, out []OutgoingMessage) []OutgoingMessage {
+	switch {
+	case m.due(&m.nextPing, now, m.options.PingInterval):
+		m.pingBroughtForward = false
+	case m.hasOwnChange && !m.pingBroughtForward && !m.options.noLocality:
+		m.nextPing = m.nextPing.Add(m.options.PingInterval)
+		m.pingBroughtForward = true
+	default:
+		return out
+	}
+	m.hasOwnChange = false
+	return m.pingNext(now, out)
+}
+
 // pingNext pings the next member of a shuffled round, so that each member is pinged
-// within a bounded time.
+// within a bounded time. The own failure domain and the others have a round each.
 func (m *Membership) pingNext(now time.Time, out []OutgoingMessage) []OutgoingMessage {
+	m.otherDomainsDue += m.otherDomainsShare()
+	order, others := &m.pingOrder, m.otherDomainsDue >= 1
+	if others {
+		m.otherDomainsDue--
+		order = &m.otherDomainsPingOrder
+	}
 	for range len(m.names) + 1 {
-		if len(m.pingOrder) == 0 {
-			m.pingOrder = slices.Clone(m.names)
-			m.random.Shuffle(len(m.pingOrder), func(i, j int) {
-				m.pingOrder[i], m.pingOrder[j] = m.pingOrder[j], m.pingOrder[i]
+		if len(*order) == 0 {
+			for _, name := range m.names {
+				if m.isOtherDomain(m.members[name]) == others {
+					*order = append(*order, name)
+				}
+			}
+			m.random.Shuffle(len(*order), func(i, j int) {
+				(*order)[i], (*order)[j] = (*order)[j], (*order)[i]
 			})
 		}
-		name := m.pingOrder[0]
-		m.pingOrder = m.pingOrder[1:]
+		if len(*order) == 0 {
+			return out
+		}
+		name := (*order)[0]
+		*order = (*order)[1:]
 		if member, ok := m.members[name]; ok && member != m.self && !member.isTombstone() {
 			return append(out, m.pingMember(now, member))
 		}
@@ -135,6 +163,7 @@
 }
 
 func (m *Membership) checkProbes(now time.Time, out []OutgoingMessage) []OutgoingMessage {
+	var unanswered []*memberState
 	pending := m.probes[:0]
 	for _, p := range m.probes {
 		member, ok := m.members[p.node]
@@ -144,6 +173,7 @@
 		if !p.indirectSent && !now.Before(p.indirectAt) {
 			p.indirectSent = true
 			out = m.requestIndirectPings(member, p.seq, out)
+			unanswered = append(unanswered, member)
 		}
 		if now.Before(p.suspectAt) {
 			pending = append(pending, p)
@@ -155,6 +185,9 @@
 		}
 	}
 	m.probes = pending
+	for _, member := range unanswered {
+		out = m.pingSameDomain(now, member, out)
+	}
 	m.relays = slices.DeleteFunc(m.relays, func(r relay) bool { return now.After(r.expiresAt) })
 	return out
 }
@@ -220,7 +253,12 @@
 	if len(m.queue.urgent) == 0 {
 		return out
 	}
-	for _, member := range m.randomMembers(urgentGossipPeers, isPresent) {
+	peers := m.nearbyMembers
+	if m.hasOwnUrgentChange() {
+		// The first hop decides how soon the other domains know of a change.
+		peers = func(n int) []*memberState { return m.randomMembers(n, isPresent) }
+	}
+	for _, member := range peers(urgentGossipPeers) {
 		msg := Message{Kind: KindGossip, From: m.self.node, Incarnation: m.self.incarnation, ConfigVersion: m.self.configVersion}
 		msg.Deltas = m.queuedDeltas(member.node, true)
 		if len(msg.Deltas) > 0 {
