version/membership: fewer pings after a lost domain

Four further pings for each failed one, at most eight outstanding, raised the peak second after the loss of a domain.

--- a/version/membership/locality.go
+++ b/version/membership/locality.go
@@ -13,8 +13,8 @@
 
 	// A cross-domain ping without an ack is followed by pings to domainProbes further
 	// members of that domain while fewer than maxPendingProbes acks are outstanding.
-	domainProbes     = 4
-	maxPendingProbes = 8
+	domainProbes     = 2
+	maxPendingProbes = 4
 )
 
 // isOtherDomain reports whether the member is in another failure domain than this node.
