--- a/version/membership/queue.go
+++ b/version/membership/queue.go
@@ -1,5 +1,7 @@
 package membership
 
+import "slices"
+
 // part is how much of a member's state a queued change sends.
 type part uint8
 
@@ -20,7 +22,8 @@
 	part             part
 	sendCount        int
 	urgentRoundsLeft int
-	removed          bool // replaced or finished
+	source           string // node that sent it to this node, which does not need it back
+	removed          bool   // replaced or finished
 }
 
 // queue holds changes ordered by the number of sends, then by arrival. One level per
@@ -57,7 +60,7 @@
 }
 
 // visit calls send for the changes in order until more is false, and skips those
-// of one node. Changes that were sent move to the next level.
+// of one node and those that it sent. Changes that were sent move to the next level.
 func (q *queue) visit(skip string, send func(*queuedChange) (sent, more bool)) {
 	var moved []*queuedChange
 	more := true
@@ -71,7 +74,7 @@
 			if change.removed || change.sendCount != i {
 				continue
 			}
-			if change.key.node == skip {
+			if change.key.node == skip || change.source == skip {
 				remaining = append(remaining, change)
 				continue
 			}
@@ -111,6 +114,11 @@
 
 func (m *Membership) enqueue(key queueKey, p part, urgent bool) {
 	change := &queuedChange{key: key, part: p}
+	if key.node == m.self.node {
+		m.hasOwnChange = true
+	} else if !m.options.noSourceCheck {
+		change.source = m.receivingFrom
+	}
 	if urgent && !m.options.noUrgent {
 		change.urgentRoundsLeft = urgentGossipRounds
 	}
@@ -140,7 +148,7 @@
 		return true
 	}
 	for _, change := range m.queue.urgent {
-		if !change.removed && change.key.node != to {
+		if !change.removed && change.key.node != to && change.source != to {
 			add(change)
 		}
 	}
@@ -160,6 +168,12 @@
 	return out
 }
 
+func (m *Membership) hasOwnUrgentChange() bool {
+	return slices.ContainsFunc(m.queue.urgent, func(change *queuedChange) bool {
+		return !change.removed && change.key.node == m.self.node
+	})
+}
+
 // endUrgentRound counts a round of urgent gossip. A change without rounds left is
 // then sent like any other.
 func (m *Membership) endUrgentRound() {
