connection/admission: the handover accepts work that may run only once by its estimate

Orders with deadlines of 6 s and more were refused for the whole drain, so a target that gets only orders was idle as before. Such work now passes by the same estimate as other work; what ran when the drain began had no better prospects.

--- a/connection/admission/handover.go
+++ b/connection/admission/handover.go
@@ -18,16 +18,17 @@
 
 const (
 	// handoverServiceTimes is the number of mean service times that accepted work is
-	// expected to take at most. Of exponential service times, 0.7 % are longer.
+	// expected to take at most. Of exponential service times, 0.7 % are longer. Work that
+	// runs when the drain begins has no better prospects.
 	handoverServiceTimes = 5
 	// handoverDeviations is the same bound for classes of which a few requests take many
 	// times the mean.
 	handoverDeviations = 6
 )
 
-// Accepts reports whether work that starts after wait may run. Work that is cut must be
-// either safe to send again or past its deadline: without a deadline before the end, work
-// that may run only once is refused, and so is work whose service time is not known.
+// Accepts reports whether work that starts after wait may run: its deadline is before the
+// end, or it is expected to end before it. That holds for work that may run only once, too:
+// a target that gets only such work would otherwise be idle for the whole drain.
 func (h Handover) Accepts(now time.Time, work Work, wait, service time.Duration, known bool) bool {
 	switch {
 	case !now.Before(h.Until):
@@ -37,7 +38,7 @@
 	case !work.Deadline.IsZero() && !work.Deadline.After(h.End):
 		return true
 	}
-	return work.Idempotent && known && !now.Add(wait+service).After(h.End)
+	return known && !now.Add(wait+service).After(h.End)
 }
 
 // longestServiceTime returns a generous estimate of the service time of a class and
--- a/connection/admission/types.go
+++ b/connection/admission/types.go
@@ -101,10 +101,9 @@
 	Deadline time.Time // zero: none
 	// ArrivedAt is when the request arrived at the fleet; its objective counts
 	// from then. Zero means now.
-	ArrivedAt  time.Time
-	Idempotent bool // may be sent again after it was cut
-	Long       bool // learned to be long although its class is short
-	NoWait     bool // refuse with ReasonBusy instead of queueing, as the entry knows of a free slot elsewhere
+	ArrivedAt time.Time
+	Long      bool // learned to be long although its class is short
+	NoWait    bool // refuse with ReasonBusy instead of queueing, as the entry knows of a free slot elsewhere
 	// AllowLate queues the work although it will miss its objective, as every other
 	// target would let it wait too. At most as many such requests wait as a target has
 	// slots, unless they are called.
--- a/process/gate/exchange.go
+++ b/process/gate/exchange.go
@@ -219,7 +219,7 @@
 func (e *exchange) admit() bool {
 	e.gate.mu.Lock()
 	d := e.gate.admission.Submit(e.gate.now(), admission.Work{
-		Attempt: e.id, Target: e.targetID, Class: e.class, Customer: e.customer, Deadline: e.deadline, ArrivedAt: e.arrivedAtEntry, Idempotent: !e.tracked, Long: e.long,
+		Attempt: e.id, Target: e.targetID, Class: e.class, Customer: e.customer, Deadline: e.deadline, ArrivedAt: e.arrivedAtEntry, Long: e.long,
 		NoWait: e.noWait, AllowLate: e.allowLate, Called: e.gate.callers.Called(e.class), Rank: e.workRank(),
 	})
 	e.gate.deliver(d.Displaced)
