--- a/version/membership/membership.go
+++ b/version/membership/membership.go
@@ -73,7 +73,7 @@
 
 	// Each switch turns one mechanism off, for the tests that show which failure
 	// it prevents.
-	noRefute, noIndirect, noAntiEntropy, noDeadCheck, noPauseCheck, noUrgent, noPairCheck, noRejoin, noLocality, noDomainProbes, noSourceCheck bool
+	noRefute, noIndirect, noAntiEntropy, noDeadCheck, noPauseCheck, noUrgent, noUrgentNew, noPairCheck, noRejoin, noLocality, noDomainProbes, noSourceCheck bool
 }
 
 // Local is the state that the node publishes about itself.
@@ -187,7 +187,7 @@
 func (m *Membership) SetSeeds(seeds []string) { m.options.Seeds = slices.Clone(seeds) }
 
 // SetLocal sets the state that the node publishes about itself. Changes of the node's
-// state and leaving or removed targets are published at once, other changes of the
+// state and leaving, removed and new targets are published at once, other changes of the
 // targets once per publishInterval, reports once per ReportInterval.
 func (m *Membership) SetLocal(now time.Time, local Local) {
 	local.Targets = sortTargets(slices.Clone(local.Targets))
@@ -214,7 +214,7 @@
 	if patch == nil {
 		return
 	}
-	urgent := len(patch.Removed) > 0 || slices.ContainsFunc(patch.Changed, func(t Target) bool { return t.Leaving })
+	urgent := patch.urgent(m.self.targets, !m.options.noUrgentNew)
 	if !urgent && now.Sub(m.targetsPublishedAt) < publishInterval {
 		return
 	}
--- a/version/membership/receive.go
+++ b/version/membership/receive.go
@@ -192,7 +192,10 @@
 // applyNewer replaces the state with that of a higher pair. It leaves a dead claim to
 // applyClaim, which may verify it first.
 func (m *Membership) applyNewer(now time.Time, member *memberState, d *Delta) {
-	wasTombstone := member.isTombstone()
+	wasTombstone, previous := member.isTombstone(), member.targets
+	if member.incarnation != d.Incarnation {
+		previous = nil
+	}
 	m.update(member, func(member *memberState) {
 		if member.incarnation != d.Incarnation {
 			member.targets, member.patch, member.targetsVersion = nil, nil, 0
@@ -208,19 +211,14 @@
 			member.deadSince = now
 		}
 	})
-	p := partState
+	p, urgent := partState, d.Declared == NodeLeaving || d.Declared == NodeLeft
 	switch {
 	case d.HasTargets:
 		p = partFull
+		urgent = urgent || (&Patch{Changed: d.Targets}).urgent(previous, !m.options.noUrgentNew)
 	case d.Patch != nil:
 		p = partPatch
-	}
-	urgent := d.Declared == NodeLeaving || d.Declared == NodeLeft
-	if d.Patch != nil {
-		urgent = urgent || len(d.Patch.Removed) > 0
-		for _, t := range d.Patch.Changed {
-			urgent = urgent || t.Leaving
-		}
+		urgent = urgent || d.Patch.urgent(previous, !m.options.noUrgentNew)
 	}
 	m.enqueueState(member, p, urgent)
 	m.applyClaim(now, member, d.Claim)
--- a/version/membership/scenario_test.go
+++ b/version/membership/scenario_test.go
@@ -171,6 +171,29 @@
 	})
 }
 
+// Guards against targets that stay idle after a restart of their node because the other
+// nodes hear of them late.
+func TestTargetIsKnownSoonAfterRestart(t *testing.T) {
+	testWithAndWithout(t, Options{noUrgentNew: true}, func(t *testing.T, o Options) bool {
+		f := newRunningFleet(7, 107, 4, o)
+		old := f.nodes[7]
+		old.stopped = true
+		n := f.start(old.self.node, old.self.meta.Domain, 0)
+		f.run(500 * time.Millisecond)
+		n.local.Targets = slices.Clone(old.local.Targets)
+		n.SetLocal(f.now, n.local)
+		f.run(2 * time.Second)
+		missed := 0
+		for _, other := range f.nodes {
+			if len(other.members["node-007"].targets) == 0 {
+				missed++
+			}
+		}
+		t.Logf("%d of 107 nodes do not know the targets after 2 s", missed)
+		return missed > 107/20
+	})
+}
+
 // Guards against a change that a node never receives because it was isolated for less
 // than the suspicion timeout.
 func TestAntiEntropyRepairsWhatGossipMissed(t *testing.T) {
