connection/quota: a new owner takes its level from the histories of the entries

The requests that a killed owner had acknowledged were charged to nobody, and entries needed 0.9 s to report to another node.

An entry keeps the requests of the last window, admitted minus returned, in 25 steps, and sends them to an owner that has not acknowledged it or that asks for them after a restart. The owner replays them through a bucket that was full one window ago. So an entry whose owner has not responded for 200 ms also reports to the next node in the hash order; the verdict of that node counts only while there is none of the owner.

The test switches noFailover and fullAtTakeover also turn off hedges and replays, which would otherwise hide what their cases guard against.

--- a/connection/quota/ledger.go
+++ b/connection/quota/ledger.go
@@ -19,7 +19,7 @@
 
 	// Each switch turns one mechanism off, for the tests that show which failure it
 	// prevents.
-	noCorrection, noReserve, noPush, reportersOnly, fullAtTakeover, ignoreReachable, noHold, addCounts, ignoreAcked, ignoreReturned bool
+	noCorrection, noReserve, noPush, reportersOnly, fullAtTakeover, ignoreReachable, noHold, addCounts, ignoreAcked, ignoreReturned, noHistory bool
 }
 
 // Change is a change of an account's share.
@@ -45,6 +45,7 @@
 	name       string
 	limit      Limit
 	bucket     bucket
+	recent     history // of all entries
 	demand     average
 	entries    map[string]*reporter
 	share      float64
@@ -52,6 +53,7 @@
 	pushedAll  bool // the last push went to all nodes
 	pushDue    bool
 	reportedAt time.Time
+	startedAt  time.Time // of the record
 	createdAt  time.Time // also when the account was taken over again
 	// ceiling bounds the share for a time after a takeover.
 	ceiling      float64
@@ -131,41 +133,56 @@
 			l.drop(reported.Account)
 			continue
 		}
-		a := l.account(now, reported.Account, limit)
+		a := l.account(now, reported, limit)
 		e := a.entries[r.Entry]
 		if e != nil && r.Incarnation.Compare(e.incarnation) < 0 {
 			continue
 		}
 		l.inherit(now, a, reported)
+		if e == nil && len(reported.Recent) == 0 && reported.Acked != (Counts{}) {
+			out.Unknown = append(out.Unknown, a.name)
+		}
 		e = l.charge(now, a, e, r, reported)
 		l.update(now, a)
 		if a.share < 1 || (e.told < 1 && now.Sub(e.toldAt) < VerdictTTL+CallTimeout) {
 			e.told, e.toldAt = a.share, now
-			out.Verdicts = append(out.Verdicts, Verdict{a.name, a.share, now.UnixNano()})
+			out.Verdicts = append(out.Verdicts, a.verdict(now))
 		}
 	}
 	return out
 }
 
-func (l *Ledger) account(now time.Time, name string, limit Limit) *ledgerAccount {
+// account returns the record of an account. Hedges do not make this node the owner.
+func (l *Ledger) account(now time.Time, r *AccountReport, limit Limit) *ledgerAccount {
+	name := r.Account
 	a := l.accounts[name]
 	if a == nil {
-		a = &ledgerAccount{name: name, entries: map[string]*reporter{}, share: 1, createdAt: now}
+		a = &ledgerAccount{name: name, entries: map[string]*reporter{}, share: 1, startedAt: now, createdAt: now}
 		a.bucket = bucket{level: limit.Burst * l.reachable, at: now}
 		l.accounts[name] = a
 	} else if now.Sub(a.reportedAt) > takeoverGap {
 		a.createdAt = now
+		if l.options.fullAtTakeover {
+			a.bucket.level = limit.Burst * l.reachable
+		}
+	}
+	a.limit = limit
+	if !r.Hedge {
+		a.reportedAt = now
 	}
-	a.limit, a.reportedAt = limit, now
 	return a
 }
 
+func (a *ledgerAccount) verdict(now time.Time) Verdict {
+	return Verdict{a.name, a.share, now.UnixNano(), now.Sub(a.reportedAt) > takeoverGap}
+}
+
 // inherit takes over the share that another owner, or this node before a restart, gave an
 // entry: the bucket is empty, and the share is not raised until it is known how much of
 // the demand reaches this owner.
 func (l *Ledger) inherit(now time.Time, a *ledgerAccount, r *AccountReport) {
-	share, own := r.Share, r.Made >= a.createdAt.UnixNano()
-	if own || share == nil || !(*share >= 0 && *share < 1) || now.Sub(a.createdAt) > VerdictTTL || l.options.fullAtTakeover {
+	share, own := r.Share, r.Made >= a.startedAt.UnixNano()
+	if own || r.Hedge || share == nil || !(*share >= 0 && *share < 1) || now.Sub(a.createdAt) > VerdictTTL || l.options.fullAtTakeover {
 		return
 	}
 	if now.Before(a.ceilingUntil) {
@@ -183,6 +200,8 @@
 	if l.options.ignoreAcked {
 		base = Counts{}
 	}
+	var previous Counts
+	known := e != nil && r.Incarnation.Compare(e.incarnation) == 0
 	if e == nil || r.Incarnation.Compare(e.incarnation) > 0 {
 		told, toldAt := 1.0, time.Time{}
 		if e != nil {
@@ -191,6 +210,7 @@
 		e = &reporter{incarnation: r.Incarnation, told: told, toldAt: toldAt}
 		a.entries[r.Entry] = e
 	} else {
+		previous = e.counts
 		base = base.atLeast(e.counts)
 	}
 	if l.options.addCounts {
@@ -208,12 +228,45 @@
 	}
 	part := l.part(now, a)
 	a.bucket.refill(now, a.limit.Rate*part, a.limit.Burst*part)
-	a.bucket.level -= float64(delta.Admitted - delta.Returned)
+	a.recent.advance(stepOf(now, l.options.Bounds.Window))
+	if len(reported.Recent) > 0 && !l.options.noHistory && !l.options.fullAtTakeover {
+		l.replay(now, a, reported, known, previous)
+	} else {
+		a.recent.steps[a.recent.newest%historySteps] += int32(delta.Admitted - delta.Returned)
+		a.bucket.level -= float64(delta.Admitted - delta.Returned)
+	}
 	a.demand.add(now, requests, demandTime(a.limit))
 	e.demand.add(now, requests, entryDemandFactor*demandTime(a.limit))
 	return e
 }
 
+// replay charges the history of an entry whose last report went to another owner. Of an
+// entry with a record, only the requests after the record are new. The level of a new owner
+// is that of a bucket that was full one window ago. The whole limit applied in the past,
+// whatever part of it this owner gives out now.
+func (l *Ledger) replay(now time.Time, a *ledgerAccount, r *AccountReport, known bool, previous Counts) {
+	window := l.options.Bounds.Window
+	left, before := int64(math.MaxInt64), a.recent.level(a.limit, window)
+	if known {
+		n := r.Counts.minus(previous)
+		left = n.Admitted - n.Returned
+	}
+	for age, n := range r.Recent[:min(len(r.Recent), historySteps)] {
+		add := min(int64(n), left)
+		if left <= 0 {
+			break
+		}
+		left -= add
+		a.recent.steps[(a.recent.newest-int64(age))%historySteps] += int32(add)
+	}
+	after := a.recent.level(a.limit, window)
+	if now.Sub(a.createdAt) > VerdictTTL {
+		a.bucket.level -= before - after
+	} else {
+		a.bucket.level = min(a.bucket.level, after)
+	}
+}
+
 func demandTime(l Limit) time.Duration {
 	return min(max(seconds(demandRequests/l.Rate), minDemandTime), maxDemandTime)
 }
@@ -312,7 +365,7 @@
 			}
 			v := out[entry]
 			v.Owner = l.options.Node
-			v.Verdicts = append(v.Verdicts, Verdict{name, a.share, now.UnixNano()})
+			v.Verdicts = append(v.Verdicts, a.verdict(now))
 			out[entry] = v
 		}
 		a.pushDue, a.pushedAt, a.pushedAll = false, now, all && a.share < 1
--- a/connection/quota/meter.go
+++ b/connection/quota/meter.go
@@ -18,7 +18,7 @@
 
 	// Each switch turns one mechanism off, for the tests that show which failure it
 	// prevents.
-	noBucket, noPhase, noFailover, noVerdicts, noIsolation bool
+	noBucket, noPhase, noFailover, noVerdicts, noIsolation, noHedge bool
 }
 
 // Meter admits the requests of accounts at one entry. It is not safe for concurrent use.
@@ -29,7 +29,8 @@
 	nodes       []node
 	generation  uint64 // of nodes and unreachable; owners of accounts are chosen again after a change
 	unreachable map[string]peerState
-	total       int64 // requests seen; new accounts begin to count here
+	movedAt     uint64 // generation for which listMoved was done
+	total       int64  // requests seen; new accounts begin to count here
 	nextSweep   time.Time
 	// isolated is set until another node responds again. This node counts its own accounts
 	// until isolatedUntil, and then tries the others once more.
@@ -64,10 +65,15 @@
 	counts     Counts
 	sent       Counts
 	acked      Counts
+	ackedBy    string // the owner that acknowledged the last report; "" if it asked for recent
+	recent     history
 	start      Counts
 	sentAt     time.Time
-	usedAt     time.Time
-	listed     bool // in Meter.changed
+	// waitingSince is when the first report was sent that is not acknowledged yet.
+	waitingSince time.Time
+	hedgedAt     time.Time
+	usedAt       time.Time
+	listed       bool // in Meter.changed
 }
 
 const (
@@ -81,6 +87,7 @@
 	// find that out.
 	unreachableBeforeIsolated = 4
 	maxReportAccounts         = 1000 // keeps a report below the size that owners accept
+	maxHistoryAccounts        = 400  // the same for reports with histories, which are larger
 	sweepInterval             = 10 * time.Second
 	minRetryAfter             = 100 * time.Millisecond
 )
@@ -128,9 +135,16 @@
 	}
 	a.bucket.level--
 	a.counts.Admitted++
+	m.record(now, a, 1)
 	return Decision{Allowed: true}
 }
 
+// record adds admitted or returned requests to the history of an account.
+func (m *Meter) record(now time.Time, a *meteredAccount, n int32) {
+	a.recent.advance(stepOf(now, m.options.Bounds.Window))
+	a.recent.steps[a.recent.newest%historySteps] += n
+}
+
 // retryAfter spreads the retries of refused requests: the lower the share and the credit,
 // the later. Half a window is enough for a level below zero to recover.
 func (m *Meter) retryAfter(a *meteredAccount) time.Duration {
@@ -179,6 +193,7 @@
 	}
 	a.counts.Returned++
 	a.bucket.level++
+	m.record(now, a, -1)
 	a.usedAt = now
 	m.list(a)
 }
@@ -192,13 +207,15 @@
 		maps.DeleteFunc(m.accounts, func(_ string, a *meteredAccount) bool { return !a.listed && now.Sub(a.usedAt) > idleAccount })
 	}
 	var out map[string]Report
+	m.listMoved(now)
 	kept := m.changed[:0]
 	for _, a := range m.changed {
-		if a.counts == a.acked {
+		if a.counts == a.acked && a.ackedBy != "" && a.ackedBy == a.owner {
 			a.listed = false
 			continue
 		}
 		kept = append(kept, a)
+		m.hedge(now, a, &out)
 		if a.counts == a.sent && now.Sub(a.sentAt) < CallTimeout {
 			continue
 		}
@@ -206,27 +223,87 @@
 		if a.owner == "" {
 			continue
 		}
-		r, ok := out[a.owner]
-		if len(r.Accounts) == maxReportAccounts {
-			continue // for the next report
-		}
-		if out == nil {
-			out = map[string]Report{}
-		}
-		a.sent, a.sentAt = a.counts, now
-		if !ok {
-			r = Report{Entry: m.options.Node, Incarnation: m.options.Incarnation}
+		if m.addReport(&out, a.owner, m.accountReport(now, a)) {
+			a.sent, a.sentAt = a.counts, now
+			if a.waitingSince.IsZero() {
+				a.waitingSince = now
+			}
 		}
-		r.Accounts = append(r.Accounts, m.accountReport(now, a))
-		out[a.owner] = r
 	}
 	clear(m.changed[len(kept):])
 	m.changed = kept
 	return out
 }
 
+// addReport adds the report of an account to the message for a node. It returns false if
+// the message is full; the account then waits for the next one.
+func (m *Meter) addReport(out *map[string]Report, node string, reported AccountReport) bool {
+	r, ok := (*out)[node]
+	if len(r.Accounts) >= maxReportAccounts || (len(reported.Recent) > 0 && len(r.Accounts) >= maxHistoryAccounts) {
+		return false
+	}
+	if *out == nil {
+		*out = map[string]Report{}
+	}
+	if !ok {
+		r = Report{Entry: m.options.Node, Incarnation: m.options.Incarnation}
+	}
+	r.Accounts = append(r.Accounts, reported)
+	(*out)[node] = r
+	return true
+}
+
+// hedge reports an account whose owner is silent to the next owner as well. If the owner
+// does not respond to all entries, the next one sees the whole demand and has a verdict
+// before the entries change to it; otherwise it sees a small part and gives none.
+func (m *Meter) hedge(now time.Time, a *meteredAccount, out *map[string]Report) {
+	if a.waitingSince.IsZero() || now.Sub(a.waitingSince) < hedgeDelay || now.Sub(a.hedgedAt) < ReportInterval ||
+		m.options.noHedge || m.options.noFailover || !m.isolatedUntil.IsZero() {
+		return
+	}
+	next := m.pick(a, func(n node) bool { return n.name != a.owner && m.unreachable[n.name].until.IsZero() })
+	if next == "" {
+		return
+	}
+	r := m.accountReport(now, a)
+	r.Made, r.Recent, r.Hedge = 0, a.recent.recent(stepOf(now, m.options.Bounds.Window)), true
+	if m.addReport(out, next, r) {
+		a.hedgedAt = now
+	}
+}
+
+// pick returns the first node in the hash order of an account for which allowed is true.
+func (m *Meter) pick(a *meteredAccount, allowed func(node) bool) string {
+	best, highest := "", uint64(0)
+	for _, n := range m.nodes {
+		if w := weight(a.hash, n.hash); allowed(n) && (best == "" || w > highest || (w == highest && n.name < best)) {
+			best, highest = n.name, w
+		}
+	}
+	return best
+}
+
+// listMoved lists the accounts with requests in the last window whose owner has changed: a
+// new owner needs their histories, also from entries without new requests.
+func (m *Meter) listMoved(now time.Time) {
+	if m.movedAt == m.generation {
+		return
+	}
+	m.movedAt = m.generation
+	for _, a := range m.accounts {
+		if !a.listed && now.Sub(a.usedAt) < m.options.Bounds.Window {
+			if m.chooseOwner(a); a.owner != a.ackedBy {
+				m.list(a)
+			}
+		}
+	}
+}
+
 func (m *Meter) accountReport(now time.Time, a *meteredAccount) AccountReport {
 	r := AccountReport{Account: a.name, Counts: a.counts, Acked: a.acked}
+	if a.owner != a.ackedBy && a.acked != a.start {
+		r.Recent = a.recent.recent(stepOf(now, m.options.Bounds.Window))
+	}
 	if share, ok := a.share(now); ok && share < 1 {
 		r.Share = &share
 		if a.verdictBy == a.owner {
@@ -247,19 +324,8 @@
 		a.owner = m.options.Node
 		return
 	}
-	for _, all := range []bool{false, true} {
-		highest := uint64(0)
-		for _, n := range m.nodes {
-			if !all && !m.unreachable[n.name].until.IsZero() {
-				continue
-			}
-			if w := weight(a.hash, n.hash); a.owner == "" || w > highest || (w == highest && n.name < a.owner) {
-				a.owner, highest = n.name, w
-			}
-		}
-		if a.owner != "" {
-			return
-		}
+	if a.owner = m.pick(a, func(n node) bool { return m.unreachable[n.name].until.IsZero() }); a.owner == "" {
+		a.owner = m.pick(a, func(node) bool { return true })
 	}
 }
 
@@ -294,8 +360,14 @@
 		}
 	}
 	for _, reported := range r.Accounts {
-		if a := m.accounts[reported.Account]; a != nil {
-			a.acked = a.acked.atLeast(reported.Counts)
+		if a := m.accounts[reported.Account]; a != nil && !reported.Hedge {
+			a.acked, a.ackedBy, a.waitingSince = a.acked.atLeast(reported.Counts), owner, time.Time{}
+		}
+	}
+	for _, name := range v.Unknown {
+		if a := m.accounts[name]; a != nil {
+			a.ackedBy, a.sentAt = "", time.Time{}
+			m.list(a)
 		}
 	}
 	m.Apply(now, v)
@@ -355,7 +427,7 @@
 		if v.Owner == a.verdictBy && verdict.Made < a.verdict.Made {
 			continue
 		}
-		if v.Owner != a.verdictBy && a.verdictBy != "" && a.verdictBy == a.owner && now.Before(a.expires) {
+		if v.Owner != a.verdictBy && a.verdictBy != "" && (a.verdictBy == a.owner || verdict.Hedge && !a.verdict.Hedge) && now.Before(a.expires) {
 			continue
 		}
 		a.verdict, a.verdictBy, a.expires = verdict, v.Owner, now.Add(VerdictTTL)
--- a/connection/quota/quota.go
+++ b/connection/quota/quota.go
@@ -19,6 +19,10 @@
 	// CallTimeout is the time after which a message without a response is lost.
 	CallTimeout = 500 * time.Millisecond
 
+	// hedgeDelay is the time without a response after which reports also go to the next
+	// owner. It is above the usual round trip; a failover takes 0.9 s, in which a hot
+	// account may exceed its bound.
+	hedgeDelay     = 200 * time.Millisecond
 	reporterMemory = 30 * time.Second // for which an owner pushes verdicts to an entry that reported demand
 	idleAccount    = 2 * time.Minute  // after which an account without requests is dropped from memory
 )
@@ -96,6 +100,11 @@
 	Acked Counts `json:"k"`
 	// Share is the entry's verdict if it is below 1.
 	Share *float64 `json:"s,omitempty"`
+	// Recent are the requests of the last window, admitted minus returned, in steps, newest
+	// first. They are sent to an owner that has not acknowledged this entry's last report.
+	Recent []int32 `json:"h,omitempty"`
+	// Hedge marks a report to the next node in the hash order while the owner is silent.
+	Hedge bool `json:"b,omitempty"`
 	// Made is that of the verdict if the same node made it, which may have restarted since.
 	Made int64 `json:"m,omitempty"`
 }
@@ -106,12 +115,18 @@
 	Share   float64 `json:"s"`
 	// Made orders the verdicts of one owner, also across its restarts: Unix nanoseconds.
 	Made int64 `json:"m"`
+	// Hedge is set by a node that got hedged reports only. The verdict of the owner comes
+	// first while it applies: it rests on the whole demand.
+	Hedge bool `json:"b,omitempty"`
 }
 
 // Verdicts is the response to a Report, and a push of an owner to an entry.
 type Verdicts struct {
 	Owner    string    `json:"owner"`
 	Verdicts []Verdict `json:"verdicts,omitempty"`
+	// Unknown are reported accounts for which the owner had no record of the entry and got
+	// no Recent: it has restarted since it acknowledged the entry.
+	Unknown []string `json:"unknown,omitempty"`
 }
 
 // Owner picks the node that counts an account by a rendezvous hash. It returns "" if
--- a/connection/quota/quota_test.go
+++ b/connection/quota/quota_test.go
@@ -162,6 +162,27 @@
 			s.runUntil(s.now + 1500*time.Millisecond)
 		}
 	}
+	// The demand rises at 10 s, and owners are killed before they have given a share below 1.
+	rise := func(o simOptions) simOptions {
+		limit := o.limit
+		o.demand = func(t time.Duration) float64 {
+			if t < 10*time.Second {
+				return limit.Rate / 1.6
+			}
+			return limit.Rate * hotFactor
+		}
+		return o
+	}
+	killedAfterRise := func(waits ...time.Duration) func(*sim) {
+		return func(s *sim) {
+			s.runUntil(10 * time.Second)
+			for _, wait := range waits {
+				s.runUntil(s.now + wait)
+				s.kill(s.owner())
+			}
+			s.runUntil(20 * time.Second)
+		}
+	}
 	over := func(s *sim) bool { return float64(s.maxInWindow(0)) > testBounds.InWindow(s.options.limit) }
 	refuses := func(s *sim) bool { return s.refusedShare(0, s.now) > 0.01 }
 	repeated, returned := usual(medium), medium
@@ -183,6 +204,8 @@
 		"push":             {hot(small), run, over, func(o *simOptions) { o.ledger.noPush = true }},
 		"push to all":      {hot(small), run, over, func(o *simOptions) { o.ledger.reportersOnly = true }},
 		"empty bucket":     {hot(bursty), ownersKilled, over, func(o *simOptions) { o.ledger.fullAtTakeover = true }},
+		"history":          {rise(bursty), killedAfterRise(600 * time.Millisecond), over, func(o *simOptions) { o.ledger.noHistory = true }},
+		"hedge":            {rise(large), killedAfterRise(200 * time.Millisecond), over, func(o *simOptions) { o.meter.noHedge = true }},
 		"reachable nodes":  {hot(medium), faults["third partitioned"], over, func(o *simOptions) { o.ledger.ignoreReachable = true }},
 		"expected demand":  {hot(large), faults["owner's third partitioned"], over, func(o *simOptions) { o.ledger.noHold = true }},
 		"cumulative":       {repeated, run, refuses, func(o *simOptions) { o.ledger.addCounts = true }},
