connection/quota: entries find out sooner that an owner responds again

Entries reported to another node for 5 s after an owner had not responded, while the entry of the restarted owner reported to the owner itself.

While its first node is unreachable, an entry also sends it one report every 500 ms; a response ends that state.

--- a/connection/quota/meter.go
+++ b/connection/quota/meter.go
@@ -18,7 +18,7 @@
 
 	// Each switch turns one mechanism off, for the tests that show which failure it
 	// prevents.
-	noBucket, noPhase, noFailover, noVerdicts, noIsolation, noHedge bool
+	noBucket, noPhase, noFailover, noVerdicts, noIsolation, noHedge, noProbe bool
 }
 
 // Meter admits the requests of accounts at one entry. It is not safe for concurrent use.
@@ -48,6 +48,7 @@
 type peerState struct {
 	failures int
 	until    time.Time // the time until which reports go to another node
+	probedAt time.Time
 }
 
 type meteredAccount struct {
@@ -216,6 +217,7 @@
 		}
 		kept = append(kept, a)
 		m.hedge(now, a, &out)
+		m.probe(now, a, &out)
 		if a.counts == a.sent && now.Sub(a.sentAt) < CallTimeout {
 			continue
 		}
@@ -272,6 +274,25 @@
 	}
 }
 
+// probe reports an account also to its first node in the hash order while that node is
+// unreachable. A response ends that state: after a restart of an owner, entries that
+// waited for unreachableTime and the entry of the owner itself reported to different nodes.
+func (m *Meter) probe(now time.Time, a *meteredAccount, out *map[string]Report) {
+	if m.countUnreachable() == 0 || m.options.noProbe || m.options.noFailover || !m.isolatedUntil.IsZero() {
+		return
+	}
+	first := m.pick(a, func(node) bool { return true })
+	p := m.unreachable[first]
+	if p.until.IsZero() || now.Sub(p.probedAt) < CallTimeout {
+		return
+	}
+	p.probedAt = now
+	m.unreachable[first] = p
+	r := m.accountReport(now, a)
+	r.Made, r.Recent, r.Hedge = 0, a.recent.recent(stepOf(now, m.options.Bounds.Window)), true
+	m.addReport(out, first, r)
+}
+
 // pick returns the first node in the hash order of an account for which allowed is true.
 func (m *Meter) pick(a *meteredAccount, allowed func(node) bool) string {
 	best, highest := "", uint64(0)
--- a/connection/quota/quota_test.go
+++ b/connection/quota/quota_test.go
@@ -148,6 +148,8 @@
 	single, bursty := large, medium
 	bursty.limit.Burst = 3 * medium.limit.Burst
 	single.entries = 1
+	onOwner := large // with an entry at the node that owns the account
+	onOwner.nodes = 12
 	hot := func(o simOptions) simOptions { o.demand = steady(o.limit.Rate * hotFactor); return o }
 	usual := func(o simOptions) simOptions { o.demand = steady(o.limit.Rate / 1.6); return o }
 	cutOffAtStart := func(s *sim) { s.partition(s.nodes[:1], 1); s.runUntil(20 * time.Second) }
@@ -183,6 +185,14 @@
 			s.runUntil(20 * time.Second)
 		}
 	}
+	// An owner restarts while the entries report to another node, and then the demand rises.
+	restartedBeforeRise := func(s *sim) {
+		s.runUntil(7 * time.Second)
+		s.kill(s.owner())
+		s.runUntil(9400 * time.Millisecond)
+		s.restart(s.owner())
+		s.runUntil(20 * time.Second)
+	}
 	over := func(s *sim) bool { return float64(s.maxInWindow(0)) > testBounds.InWindow(s.options.limit) }
 	refuses := func(s *sim) bool { return s.refusedShare(0, s.now) > 0.01 }
 	repeated, returned := usual(medium), medium
@@ -206,6 +216,7 @@
 		"empty bucket":     {hot(bursty), ownersKilled, over, func(o *simOptions) { o.ledger.fullAtTakeover = true }},
 		"history":          {rise(bursty), killedAfterRise(600 * time.Millisecond), over, func(o *simOptions) { o.ledger.noHistory = true }},
 		"hedge":            {rise(large), killedAfterRise(200 * time.Millisecond), over, func(o *simOptions) { o.meter.noHedge = true }},
+		"probe":            {rise(onOwner), restartedBeforeRise, over, func(o *simOptions) { o.meter.noProbe = true }},
 		"reachable nodes":  {hot(medium), faults["third partitioned"], over, func(o *simOptions) { o.ledger.ignoreReachable = true }},
 		"expected demand":  {hot(large), faults["owner's third partitioned"], over, func(o *simOptions) { o.ledger.noHold = true }},
 		"cumulative":       {repeated, run, refuses, func(o *simOptions) { o.ledger.addCounts = true }},
