connection/quota, process/entry: a lowered account limit binds one window later

A lowered limit applied at once, so that callers which keep to the limit that they know were refused. An entry now holds the higher limit for account_window after the version came into force at the node, at its meter and as an owner. Raised limits apply at once. A new process has no earlier version, so the lower limit applies.

--- a/connection/quota/quota_test.go
+++ b/connection/quota/quota_test.go
@@ -361,3 +361,44 @@
 		check()
 	})
 }
+
+// Guards against a lowered limit that binds at once: callers that keep to the limit which
+// they know are refused. One window later the bound is that of the new limit, and a version
+// that lowers the limit again does not prolong the first.
+func TestLoweredLimitBindsAfterOneWindow(t *testing.T) {
+	high, low, lowest := Limit{104, 104}, Limit{52, 52}, Limit{26, 26}
+	for _, off := range []bool{false, true} {
+		o := accounts["104 per s at 108 entries"]
+		o.seed, o.demand, o.maxDelay = 1, steady(high.Rate/1.6), 4*time.Millisecond
+		s := newSim(o)
+		s.runUntil(10 * time.Second)
+		held := HoldLowered(s.clock(), testBounds.Window, nil, map[string]Limit{simAccount: high}, map[string]Limit{simAccount: low})
+		s.runUntil(13 * time.Second)
+		held = HoldLowered(s.clock(), testBounds.Window, held, map[string]Limit{simAccount: low}, map[string]Limit{simAccount: lowest})
+		for s.now < 40*time.Second {
+			s.options.limit = lowest
+			if !off {
+				s.options.limit = Effective(s.clock(), held[simAccount], lowest)
+			}
+			s.runUntil(s.now + 50*time.Millisecond)
+		}
+		refused, most := s.refusedShare(10*time.Second, 15*time.Second), s.maxInWindow(18*time.Second)
+		t.Logf("off=%v: refused %.3f within one window, then at most %d in a window, bound %.1f", off, refused, most, testBounds.InWindow(lowest))
+		if fails := refused > 0.01; fails != off {
+			t.Errorf("with the mechanism off: %v; refused %.3f of requests below the earlier limit", off, refused)
+		}
+		if float64(most) > testBounds.InWindow(lowest) {
+			t.Errorf("%d requests ran in a window, bound %.1f", most, testBounds.InWindow(lowest))
+		}
+	}
+	none := HoldLowered(time.Unix(0, 0), testBounds.Window, nil, map[string]Limit{"a": {}}, map[string]Limit{"a": low, "new": low})
+	if got := Effective(time.Unix(4, 0), none["a"], low); got.Rate != 0 {
+		t.Errorf("an account that had no limit has %v within the window", got)
+	}
+	if got := Effective(time.Unix(5, 0), none["a"], low); got != low {
+		t.Errorf("after the window the limit is %v, want %v", got, low)
+	}
+	if len(none["new"]) > 0 || len(HoldLowered(time.Unix(0, 0), testBounds.Window, nil, map[string]Limit{"a": low}, map[string]Limit{"a": high})) > 0 {
+		t.Error("a new account or a raised limit is held back")
+	}
+}
--- a/process/entry/account_quota.go
+++ b/process/entry/account_quota.go
@@ -64,9 +64,12 @@
 	q.meter = quota.NewMeter(quota.MeterOptions{Node: q.entry.options.Node, Incarnation: incarnation, Bounds: q.entry.options.AccountBounds})
 }
 
-func accountLimit(c *config.Config, account string) quota.Limit {
-	a := c.Accounts[account]
-	return quota.Limit{Rate: a.Rate, Burst: a.Burst}
+func accountLimits(c *config.Config) map[string]quota.Limit {
+	out := make(map[string]quota.Limit, len(c.Accounts))
+	for name, a := range c.Accounts {
+		out[name] = quota.Limit{Rate: a.Rate, Burst: a.Burst}
+	}
+	return out
 }
 
 // checkAccountQuota applies the rate limit of the request's account. It refuses the request
@@ -75,7 +78,8 @@
 	if q.account == nil {
 		return true
 	}
-	limit := quota.Limit{Rate: q.account.Rate, Burst: q.account.Burst}
+	now := q.entry.now()
+	limit := quota.Effective(now, q.entry.routing.Load().held[q.account.Name], quota.Limit{Rate: q.account.Rate, Burst: q.account.Burst})
 	if limit.Rate <= 0 {
 		return true
 	}
@@ -83,7 +87,7 @@
 	a.meterMu.Lock()
 	decision := quota.Decision{Allowed: true}
 	if a.meter != nil {
-		decision = a.meter.Allow(q.entry.now(), q.account.Name, limit)
+		decision = a.meter.Allow(now, q.account.Name, limit)
 	}
 	a.meterMu.Unlock()
 	if !decision.Allowed {
@@ -278,7 +282,7 @@
 		if routing == nil {
 			return quota.Limit{}
 		}
-		return accountLimit(routing.config, account)
+		return routing.limit(now, account)
 	})
 	changes := q.takeChanges(now)
 	q.ledgerMu.Unlock()
--- a/process/entry/account_quota_test.go
+++ b/process/entry/account_quota_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -139,6 +140,23 @@
 	}
 }
 
+// Guards against a new version whose lowered limit binds at once at the entry and the owner.
+func TestVersionLowersAccountLimit(t *testing.T) {
+	e := newQuotaFleet(t, 1)[0]
+	c, findings := config.Parse("test.toml", []byte(strings.Replace(accountConfig, "rate = 20.0", "rate = 5.0", 1)))
+	if len(findings) > 0 {
+		t.Fatal(findings)
+	}
+	e.SetConfig(c)
+	now, r := e.now(), e.routing.Load()
+	if got := r.limit(now, "atelier").Rate; got != 20 {
+		t.Errorf("rate %v within the window, want 20", got)
+	}
+	if got := r.limit(now.Add(quota.DefaultWindow), "atelier").Rate; got != 5 {
+		t.Errorf("rate %v after the window, want 5", got)
+	}
+}
+
 // Guards against malformed messages that are taken for reports, and against messages
 // without the fleet token.
 func TestQuotaMessagesAreChecked(t *testing.T) {
--- a/process/entry/fleet.go
+++ b/process/entry/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hyssopsill/hyssopsill/connection/health"
+	"github.com/hyssopsill/hyssopsill/connection/quota"
 	"github.com/hyssopsill/hyssopsill/connection/ratelimit"
 	"github.com/hyssopsill/hyssopsill/connection/selection"
 	"github.com/hyssopsill/hyssopsill/process/gate"
@@ -24,6 +25,13 @@
 	table    *class.RouteTable
 	accounts *account.Table
 	ranked   bool // the ranks of requests may differ, so they are sent to the gates
+	limits   map[string]quota.Limit
+	held     map[string][]quota.HeldLimit // limits that this version lowered
+}
+
+// limit returns the limit that applies to an account now.
+func (r *routing) limit(now time.Time, account string) quota.Limit {
+	return quota.Effective(now, r.held[account], r.limits[account])
 }
 
 // hasRanks reports whether the ranks of the accounts and classes of a configuration
@@ -125,7 +133,11 @@
 			CustomerBurst: s.CustomerBurst, CustomerConcurrency: s.CustomerConcurrency,
 		}
 	}
-	e.routing.Store(&routing{config: c, table: class.NewRouteTable(routes), accounts: accountTable(c), ranked: hasRanks(c)})
+	next := &routing{config: c, table: class.NewRouteTable(routes), accounts: accountTable(c), ranked: hasRanks(c), limits: accountLimits(c)}
+	if last := e.routing.Load(); last != nil {
+		next.held = quota.HoldLowered(e.now(), e.options.AccountBounds.Window, last.held, last.limits, next.limits)
+	}
+	e.routing.Store(next)
 	e.mu.Lock()
 	e.limiter.SetServices(e.now(), limits)
 	maps.DeleteFunc(e.meanSizes, func(id string, _ float64) bool { return !routeIDs[id] })
