connection/quota: the burst is earned again after a restart

A play in which all nodes were killed while an account was hot ran 1141 requests in a window (1114 in a repeat), 1056 are allowed: before the restart the account had used its burst, and the new owner gave it another one. A process that started within the last window now begins with an empty bucket. TestEachMechanismIsNeeded/level at start: 848 requests in a window, 1160 without, bound 935.

--- a/connection/quota/ledger.go
+++ b/connection/quota/ledger.go
@@ -19,7 +19,7 @@
 
 	// Each switch turns one mechanism off, for the tests that show which failure it
 	// prevents.
-	noCorrection, noReserve, noPush, reportersOnly, fullAtTakeover, ignoreReachable, noHold, addCounts, ignoreAcked, ignoreReturned, noHistory bool
+	noCorrection, noReserve, noPush, reportersOnly, fullAtTakeover, ignoreReachable, noHold, addCounts, ignoreAcked, ignoreReturned, noHistory, fullAtStart bool
 }
 
 // Change is a change of an account's share.
@@ -38,6 +38,7 @@
 	accounts  map[string]*ledgerAccount
 	throttled map[string]*ledgerAccount // with a share below 1, or with a push to do
 	nextSweep time.Time
+	startedAt time.Time
 	foreignAt time.Time // last report of another node
 }
 
@@ -125,6 +126,7 @@
 	if r.Entry != l.options.Node {
 		l.foreignAt = now
 	}
+	l.start(now)
 	out := Verdicts{Owner: l.options.Node}
 	for i := range r.Accounts {
 		reported := &r.Accounts[i]
@@ -158,7 +160,7 @@
 	a := l.accounts[name]
 	if a == nil {
 		a = &ledgerAccount{name: name, entries: map[string]*reporter{}, share: 1, startedAt: now, createdAt: now}
-		a.bucket = bucket{level: limit.Burst * l.reachable, at: now}
+		a.bucket = bucket{level: l.earned(limit, now.Sub(l.startedAt)) * l.reachable, at: now}
 		l.accounts[name] = a
 	} else if now.Sub(a.reportedAt) > takeoverGap {
 		a.createdAt = now
@@ -173,6 +175,23 @@
 	return a
 }
 
+func (l *Ledger) start(now time.Time) {
+	if l.startedAt.IsZero() {
+		l.startedAt = now
+	}
+}
+
+// earned returns the level of a bucket that was empty when a process started. What the
+// processes before it admitted is not known when the owner or an entry started within the
+// last window: after a restart of all nodes a window would otherwise have two bursts. The
+// reserve remains, as random peaks of small accounts are refused without it.
+func (l *Ledger) earned(limit Limit, age time.Duration) float64 {
+	if l.options.fullAtStart || age >= l.options.Bounds.Window {
+		return limit.Burst
+	}
+	return min(limit.Burst, limit.Rate*max(0, age.Seconds()))
+}
+
 func (a *ledgerAccount) verdict(now time.Time) Verdict {
 	return Verdict{a.name, a.share, now.UnixNano(), now.Sub(a.reportedAt) > takeoverGap}
 }
@@ -209,6 +228,9 @@
 		}
 		e = &reporter{incarnation: r.Incarnation, told: told, toldAt: toldAt}
 		a.entries[r.Entry] = e
+		if r.Age > 0 && now.Sub(a.startedAt) < l.options.Bounds.Window {
+			a.bucket.level = min(a.bucket.level, l.earned(a.limit, time.Duration(r.Age)*time.Millisecond))
+		}
 	} else {
 		previous = e.counts
 		base = base.atLeast(e.counts)
@@ -342,6 +364,7 @@
 // a level is below zero, entries without a recent report get the verdict too, because the
 // first requests at many such entries can exceed a small limit.
 func (l *Ledger) Push(now time.Time, nodes []string) map[string]Verdicts {
+	l.start(now)
 	l.sweep(now)
 	var out map[string]Verdicts
 	for _, name := range slices.Sorted(maps.Keys(l.throttled)) {
--- a/connection/quota/meter.go
+++ b/connection/quota/meter.go
@@ -31,6 +31,7 @@
 	unreachable map[string]peerState
 	movedAt     uint64 // generation for which listMoved was done
 	total       int64  // requests seen; new accounts begin to count here
+	startedAt   time.Time
 	nextSweep   time.Time
 	// isolated is set until another node responds again. This node counts its own accounts
 	// until isolatedUntil, and then tries the others once more.
@@ -202,6 +203,9 @@
 // Reports returns the messages to send, by owner: the counts that changed since the last
 // report, and those that were not acknowledged within CallTimeout.
 func (m *Meter) Reports(now time.Time) map[string]Report {
+	if m.startedAt.IsZero() {
+		m.startedAt = now
+	}
 	m.expireUnreachable(now)
 	if now.After(m.nextSweep) {
 		m.nextSweep = now.Add(sweepInterval)
@@ -225,7 +229,7 @@
 		if a.owner == "" {
 			continue
 		}
-		if m.addReport(&out, a.owner, m.accountReport(now, a)) {
+		if m.addReport(now, &out, a.owner, m.accountReport(now, a)) {
 			a.sent, a.sentAt = a.counts, now
 			if a.waitingSince.IsZero() {
 				a.waitingSince = now
@@ -239,7 +243,7 @@
 
 // addReport adds the report of an account to the message for a node. It returns false if
 // the message is full; the account then waits for the next one.
-func (m *Meter) addReport(out *map[string]Report, node string, reported AccountReport) bool {
+func (m *Meter) addReport(now time.Time, out *map[string]Report, node string, reported AccountReport) bool {
 	r, ok := (*out)[node]
 	if len(r.Accounts) >= maxReportAccounts || (len(reported.Recent) > 0 && len(r.Accounts) >= maxHistoryAccounts) {
 		return false
@@ -249,6 +253,9 @@
 	}
 	if !ok {
 		r = Report{Entry: m.options.Node, Incarnation: m.options.Incarnation}
+		if age := now.Sub(m.startedAt); age < m.options.Bounds.Window {
+			r.Age = max(1, age.Milliseconds())
+		}
 	}
 	r.Accounts = append(r.Accounts, reported)
 	(*out)[node] = r
@@ -269,7 +276,7 @@
 	}
 	r := m.accountReport(now, a)
 	r.Made, r.Recent, r.Hedge = 0, a.recent.recent(stepOf(now, m.options.Bounds.Window)), true
-	if m.addReport(out, next, r) {
+	if m.addReport(now, out, next, r) {
 		a.hedgedAt = now
 	}
 }
@@ -290,7 +297,7 @@
 	m.unreachable[first] = p
 	r := m.accountReport(now, a)
 	r.Made, r.Recent, r.Hedge = 0, a.recent.recent(stepOf(now, m.options.Bounds.Window)), true
-	m.addReport(out, first, r)
+	m.addReport(now, out, first, r)
 }
 
 // pick returns the first node in the hash order of an account for which allowed is true.
--- a/connection/quota/quota.go
+++ b/connection/quota/quota.go
@@ -88,7 +88,10 @@
 type Report struct {
 	Entry       string              `json:"entry"`
 	Incarnation attempt.Incarnation `json:"incarnation"`
-	Accounts    []AccountReport     `json:"accounts"`
+	// Age is the time since the entry started, in milliseconds, while that is shorter than
+	// the window. What it admitted before is not known to it.
+	Age      int64           `json:"age,omitempty"`
+	Accounts []AccountReport `json:"accounts"`
 }
 
 // AccountReport holds the counts of one account.
--- a/connection/quota/quota_test.go
+++ b/connection/quota/quota_test.go
@@ -194,6 +194,13 @@
 		s.restart(s.owner())
 		s.runUntil(20 * time.Second)
 	}
+	allRestarted := func(s *sim) {
+		s.runUntil(11 * time.Second)
+		for _, n := range s.nodes {
+			s.restart(n)
+		}
+		s.runUntil(20 * time.Second)
+	}
 	slowAfterRise := func(s *sim) {
 		s.runUntil(10500 * time.Millisecond)
 		s.owner().slow = true
@@ -219,6 +226,7 @@
 		"reserve":          {usual(small), faults["none"], refuses, func(o *simOptions) { o.ledger.noReserve = true }},
 		"push":             {hot(small), run, over, func(o *simOptions) { o.ledger.noPush = true }},
 		"push to all":      {hot(small), run, over, func(o *simOptions) { o.ledger.reportersOnly = true }},
+		"level at start":   {rise(bursty), allRestarted, over, func(o *simOptions) { o.ledger.fullAtStart = true }},
 		"empty bucket":     {hot(bursty), ownersKilled, over, func(o *simOptions) { o.ledger.fullAtTakeover = true }},
 		"history":          {rise(bursty), killedAfterRise(600 * time.Millisecond), over, func(o *simOptions) { o.ledger.noHistory = true }},
 		"hedge":            {rise(large), killedAfterRise(200 * time.Millisecond), over, func(o *simOptions) { o.meter.noHedge = true }},
@@ -323,7 +331,7 @@
 // Guards against sequences of faults that no listed case has: nodes are killed, restarted
 // and paused, messages are lost and repeated, and the demand changes, in any order. The
 // bound holds in every window, except those in which all nodes restart: what ran before is
-// unknown then, and the fleet begins with a full bucket, as at its first start.
+// unknown then, and the bound is exceeded by a few percent.
 func TestQuotaHistories(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		account := accounts[rapid.SampledFrom([]string{"2 per s at 108 entries", "400 per s at 3 entries"}).Draw(t, "account")]
