process/gate: calls keep the inherited rank along chains

A call made by a target that itself runs only calls had the rank of its class, as Gate.MostUrgentRank left out work that is a call. At the end of a chain of two calls less urgent work thus went before urgent work. MostUrgentRank now counts calls with the rank that they inherited.

--- a/process/gate/retry_budget.go
+++ b/process/gate/retry_budget.go
@@ -119,15 +119,17 @@
 }
 
 // MostUrgentRank returns the most urgent rank of the work that runs at the targets of this
-// gate and is no call itself. It is false without any.
+// gate, which calls of these targets inherit. Work that is itself a call counts with the
+// rank that it inherited, so that a chain of calls keeps the rank of the work that waits
+// for it. It is false without any work.
 func (g *Gate) MostUrgentRank() (rank int, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, e := range g.active {
-		if !e.started || e.ticketEnded || g.callers.Called(e.class) {
+		if !e.started || e.ticketEnded {
 			continue
 		}
-		own := e.rank
+		own := e.workRank()
 		if own < 0 {
 			own = g.classRank(e)
 		}
