connection/admission: throttle for requests whose calls find no room

With ranks, a shortage of a called service falls on calls of the least urgent work, whose runs have begun by then.

--- a/request/fallback/crest_test.go
+++ b/request/fallback/crest_test.go
@@ -27,10 +27,11 @@
 	orderTargets  = 16
 	calledTargets = 3
 	targetSlots   = 5
+	crestEntries  = 60
 )
 
 // mechanisms are those that the pattern needs.
-type mechanisms struct{ lateQueue, calledFirst, ranks, inherit bool }
+type mechanisms struct{ lateQueue, calledFirst, ranks, inherit, throttle bool }
 
 type crestEvent struct {
 	at       time.Duration
@@ -66,6 +67,7 @@
 	work       time.Duration
 	idempotent bool
 	called     bool
+	entry      int // that takes the request
 	rank       int
 	calls      int // to make after half of the work
 	relayed    int // calls that each of its calls makes, 0: none
@@ -90,12 +92,15 @@
 	served     map[string]int // by class
 	failed     map[string]int // after they began to run
 	inTime     map[string]int // served within the objective
+	calledFull map[string]int // failed because a call found no room
 	offered    map[string]int
+	throttles  map[string]*admission.CallThrottle // by target, as of the gates
+	entries    [crestEntries]admission.CallCounts // of the orders
 }
 
 func newCrest(seed uint64, orderRate float64, with mechanisms) *crest {
 	return &crest{inTime: map[string]int{}, with: with, orderRate: orderRate, random: rand.New(rand.NewPCG(seed, 3)), controller: admission.New(admission.Options{}, invariant.PanicReporter{}),
-		targets: map[string][]*crestTarget{}, waiting: map[admission.Ticket]func(admission.Decision){}, served: map[string]int{}, failed: map[string]int{}, offered: map[string]int{}, budgets: map[string]*retry.Budget{}}
+		targets: map[string][]*crestTarget{}, waiting: map[admission.Ticket]func(admission.Decision){}, served: map[string]int{}, failed: map[string]int{}, offered: map[string]int{}, throttles: map[string]*admission.CallThrottle{}, calledFull: map[string]int{}, budgets: map[string]*retry.Budget{}}
 }
 
 func runCrest(seed uint64, orderRate float64, with mechanisms) *crest {
@@ -265,6 +270,11 @@
 			trial = true
 		}
 	}
+	if !c.passesThrottle(q, t) {
+		t.breaker.Cancelled(trial)
+		q.end(false)
+		return
+	}
 	admitted := func(d admission.Decision) {
 		if d.Kind == admission.Refused {
 			t.breaker.Cancelled(trial)
@@ -295,6 +305,12 @@
 	t.running = append(t.running, q)
 	sentAt := c.time()
 	end := func(ok, callFailed bool) {
+		if ok || callFailed {
+			c.observeCalls(q, t, ok)
+		}
+		if callFailed {
+			c.calledFull[q.class]++
+		}
 		t.running = slices.DeleteFunc(t.running, func(other *crestRequest) bool { return other == q })
 		c.deliver(c.controller.Finish(c.time(), ticket, admission.Result{OK: ok}))
 		outcome := breaker.Success
--- a/request/fallback/rank_test.go
+++ b/request/fallback/rank_test.go
@@ -27,6 +27,21 @@
 	return rank
 }
 
+// submitOrdersAndUrgentWork adds orders that make two calls each to five small targets, and
+// urgent work at these.
+func (c *crest) submitOrdersAndUrgentWork(urgentRate float64) {
+	c.addTargets("orders", 60, map[string]admission.Class{"order": {Objective: 2500 * time.Millisecond}})
+	c.addTargets("drawings", 5, map[string]admission.Class{"call": {Objective: 500 * time.Millisecond}, "direct": {Objective: 1500 * time.Millisecond}})
+	c.every(c.orderRate, func() {
+		c.submitCustomer(&crestRequest{class: "order", rank: 34, service: "orders", deadline: 6 * time.Second, objective: 2500 * time.Millisecond,
+			work: c.workTime(470 * time.Millisecond), calls: 2})
+	})
+	c.every(urgentRate, func() {
+		c.submitCustomer(&crestRequest{class: "direct", rank: 17, service: "drawings", deadline: 6 * time.Second, objective: 1500 * time.Millisecond,
+			work: c.workTime(120 * time.Millisecond), idempotent: true})
+	})
+}
+
 // Guards against urgent work at five small targets that is refused, while calls of less
 // urgent work to them never are: together they need 1.4 times the capacity.
 func TestCallsOfLessUrgentWorkDoNotStarveUrgentWork(t *testing.T) {
@@ -36,16 +51,7 @@
 		direct, order, failed, offeredDirect, offeredOrder := 0, 0, 0, 0, 0
 		for seed := range uint64(2) {
 			c := newCrest(seed, orderRate, with)
-			c.addTargets("orders", 60, map[string]admission.Class{"order": {Objective: 2500 * time.Millisecond}})
-			c.addTargets("drawings", 5, map[string]admission.Class{"call": {Objective: 500 * time.Millisecond}, "direct": {Objective: 1500 * time.Millisecond}})
-			c.every(orderRate, func() {
-				c.submitCustomer(&crestRequest{class: "order", rank: 34, service: "orders", deadline: 6 * time.Second, objective: 2500 * time.Millisecond,
-					work: c.workTime(470 * time.Millisecond), calls: 2})
-			})
-			c.every(0.5*capacity, func() {
-				c.submitCustomer(&crestRequest{class: "direct", rank: 17, service: "drawings", deadline: 6 * time.Second, objective: 1500 * time.Millisecond,
-					work: c.workTime(120 * time.Millisecond), idempotent: true})
-			})
+			c.submitOrdersAndUrgentWork(0.5 * capacity)
 			c.run()
 			direct, order, failed = direct+c.inTime["direct"], order+c.served["order"], failed+c.failed["order"]
 			offeredDirect, offeredOrder = offeredDirect+c.offered["direct"], offeredOrder+c.offered["order"]
