process/gate, process/entry: refuse requests whose calls find no room

The entry tells the gate of its host when a call found no room (refused with overload or call-overload, not run), as opposed to a called target that failed. The gate counts runs that fail right after such a call, tells the entry that sent them, and applies admission.CallThrottle to requests that are no calls. Entries send their counts of the class with each request and treat the refusal (503, call-overload, not run) as final. In use only where ranks differ.

--- a/process/entry/attempt.go
+++ b/process/entry/attempt.go
@@ -84,6 +84,7 @@
 	nothingSent bool // no byte of the request was sent
 	abandoned   bool // this entry ended it because of its connection or an ejection
 	called      bool // the gate takes the work for a call by a target
+	callRefused bool // the run failed because a call that it made found no room
 	budgetTaken bool // the retry budget was taken for the next attempt
 	retryAfter  time.Duration
 	fault       health.Fault
@@ -220,7 +221,8 @@
 	if a.request.entry.options.HTTPProfile.SaysLeaving(h) {
 		a.request.entry.noteLeaving(a.target)
 	}
-	r := result{verdict: verdict, status: resp.StatusCode, resp: resp, buffered: buffered, streamed: !complete}
+	r := result{verdict: verdict, status: resp.StatusCode, resp: resp, buffered: buffered, streamed: !complete,
+		called: h.Get(attempt.HeaderCalled) == "1", callRefused: h.Get(attempt.HeaderCallRefused) == "1"}
 	r.fault = health.FaultOf(verdict, attempt.ReasonNone, resp.StatusCode)
 	return r
 }
@@ -232,7 +234,7 @@
 	q := a.request
 	remaining := q.deadline.Sub(q.entry.now())
 	remaining = max(time.Millisecond, remaining-min(gateDeadlineMargin, remaining/10))
-	fields := make([]roundtrip.Field, 0, 15)
+	fields := make([]roundtrip.Field, 0, 16)
 	fields = append(fields,
 		roundtrip.Field{Name: attempt.HeaderAttempt, Value: a.id},
 		roundtrip.Field{Name: attempt.HeaderFleet, Value: q.entry.options.Token},
@@ -253,6 +255,9 @@
 		if rank, ok := q.entry.options.HostRank(); ok {
 			fields = append(fields, roundtrip.Field{Name: attempt.HeaderCallerRank, Value: strconv.Itoa(rank)})
 		}
+		if counts := q.entry.callCountsOf(q); counts != "" {
+			fields = append(fields, roundtrip.Field{Name: attempt.HeaderCallCounts, Value: counts})
+		}
 	}
 	if q.class.Idempotent {
 		fields = append(fields, roundtrip.Field{Name: attempt.HeaderIdempotent, Value: "1"})
@@ -421,6 +426,7 @@
 	delete(e.activeAttempts, a.sequence)
 	e.selector.Finished(a.target.key, a.request.long)
 	e.updateFailing(now, r)
+	e.countCalls(now, r)
 	if r.resp != nil && r.status < http.StatusInternalServerError {
 		a.request.entry.observeSize(a.request.match.Route.ID, a.exchangeBytes(r))
 	}
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -12,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/hyssopsill/hyssopsill/connection/admission"
 	"github.com/hyssopsill/hyssopsill/connection/health"
 	"github.com/hyssopsill/hyssopsill/connection/quota"
 	"github.com/hyssopsill/hyssopsill/connection/ratelimit"
@@ -54,7 +55,7 @@
 	// host that is a retry. Calls of such work are retries too.
 	HostRetryShare func() float64
 	// HostRank returns the most urgent rank of the work that runs at the targets of this
-	// host and is no call itself. Calls of such work inherit it. It is false without any.
+	// host, calls with the rank that they inherited. Calls inherit it. It is false without any.
 	HostRank func() (rank int, ok bool)
 	// OnCalledRoom is called with the part that is left of the retry budget of a service
 	// that targets of this host call, as one of its gates reports it.
@@ -62,8 +63,11 @@
 	// OnFailedRequest is called when a request, maybe a call of a target on this host,
 	// ends with an error status, before its caller gets the last byte.
 	OnFailedRequest func()
-	LogService      eventlog.Log // for the bindings of customer keys
-	Record          func(record.Record)
+	// OnCallRefused is called when a call of a target on this host, or a call that it led to,
+	// ends because it found no room, before the caller gets the last byte.
+	OnCallRefused func()
+	LogService    eventlog.Log // for the bindings of customer keys
+	Record        func(record.Record)
 	// OnRequestEnd is called when a request has ended, for metrics.
 	OnRequestEnd func(service, class, customer string, outcome attempt.Outcome, reason attempt.Reason, duration time.Duration)
 
@@ -115,6 +119,7 @@
 	lastProbes     map[string]time.Time
 	failingUntil   map[failingKey]time.Time // when a target that its gate reported as failing is used again
 	targetRates    map[string]targetRate    // by identity of the target
+	callCounts     map[classKey]*admission.CallCounts
 
 	viewMu  sync.Mutex // taken before mu; guards the replacement of fleet
 	leaving leavingTargets
@@ -152,6 +157,9 @@
 	if o.OnFailedRequest == nil {
 		o.OnFailedRequest = func() {}
 	}
+	if o.OnCallRefused == nil {
+		o.OnCallRefused = func() {}
+	}
 	if o.OnAccountRefused == nil {
 		o.OnAccountRefused = func() {}
 	}
@@ -179,6 +187,7 @@
 		meanSizes:      map[string]float64{},
 		failingUntil:   map[failingKey]time.Time{},
 		targetRates:    map[string]targetRate{},
+		callCounts:     map[classKey]*admission.CallCounts{},
 		leaving:        leavingTargets{},
 	}
 	e.accountQuota = newAccountQuota(e)
--- a/process/entry/fleet.go
+++ b/process/entry/fleet.go
@@ -6,12 +6,12 @@
 	"slices"
 	"time"
 
+	"github.com/hyssopsill/hyssopsill/connection/admission"
 	"github.com/hyssopsill/hyssopsill/connection/health"
 	"github.com/hyssopsill/hyssopsill/connection/ratelimit"
 	"github.com/hyssopsill/hyssopsill/connection/selection"
 	"github.com/hyssopsill/hyssopsill/process/gate"
 	"github.com/hyssopsill/hyssopsill/request/account"
-	"github.com/hyssopsill/hyssopsill/request/attempt"
 	"github.com/hyssopsill/hyssopsill/request/class"
 	"github.com/hyssopsill/hyssopsill/request/order"
 	"github.com/hyssopsill/hyssopsill/version/config"
@@ -26,31 +26,6 @@
 	ranked   bool // the ranks of requests may differ, so they are sent to the gates
 }
 
-// hasRanks reports whether the ranks of the accounts and classes of a configuration
-// differ. Accounts without a rank have that of the class.
-func hasRanks(c *config.Config) bool {
-	first, known := 0, false
-	differs := func(rank int) bool {
-		if !known {
-			first, known = rank, true
-		}
-		return rank != first
-	}
-	for _, s := range c.Services {
-		for _, class := range s.Classes {
-			if differs(attempt.CombinedRank(class.Rank, class.Rank)) {
-				return true
-			}
-			for _, a := range c.Accounts {
-				if a.Rank != nil && differs(attempt.CombinedRank(*a.Rank, class.Rank)) {
-					return true
-				}
-			}
-		}
-	}
-	return false
-}
-
 // hasIdempotent reports whether a service has a class of idempotent work.
 func (r *routing) hasIdempotent(service string) bool {
 	for _, c := range r.config.Services[service].Classes {
@@ -125,9 +100,13 @@
 			CustomerBurst: s.CustomerBurst, CustomerConcurrency: s.CustomerConcurrency,
 		}
 	}
-	e.routing.Store(&routing{config: c, table: class.NewRouteTable(routes), accounts: accountTable(c), ranked: hasRanks(c)})
+	e.routing.Store(&routing{config: c, table: class.NewRouteTable(routes), accounts: accountTable(c), ranked: c.RanksDiffer()})
 	e.mu.Lock()
 	e.limiter.SetServices(e.now(), limits)
+	maps.DeleteFunc(e.callCounts, func(k classKey, _ *admission.CallCounts) bool {
+		_, ok := c.Services[k.service].Classes[k.class]
+		return !ok
+	})
 	maps.DeleteFunc(e.meanSizes, func(id string, _ float64) bool { return !routeIDs[id] })
 	e.learner.Prune(func(id string) bool { return routeIDs[id] })
 	for name := range e.budgets {
--- a/process/entry/request.go
+++ b/process/entry/request.go
@@ -56,6 +56,7 @@
 	round          int           // index in history of the first attempt since the last wait for a target
 	rejectAfter    time.Duration // Retry-After of a rejection, 0 when not known
 	called         bool          // a gate takes the work for a call by a target
+	callRefused    bool          // the last run failed because a call that it made found no room
 	budgetTaken    bool          // the retry budget was taken for the next attempt
 	exemptFromStop func() bool   // keeps EndWaitingRequests from ending this request
 }
@@ -109,6 +110,9 @@
 	q.record.DurationMS = float64(duration) / float64(time.Millisecond)
 	if q.record.Status >= http.StatusBadRequest {
 		q.entry.options.OnFailedRequest()
+		if q.isRefusedCall() {
+			q.entry.options.OnCallRefused()
+		}
 	}
 	q.entry.options.OnRequestEnd(q.record.Service, q.record.Class, q.customer, q.record.Outcome, q.record.Reason, duration)
 	q.entry.options.Record(record.Record{At: q.start, Node: q.entry.options.Node, Kind: record.KindRequest, Request: &q.record})
--- a/process/entry/run.go
+++ b/process/entry/run.go
@@ -269,6 +269,7 @@
 	a.Verdict, a.Reason, a.Status, a.NeverStarted = r.verdict, r.reason, r.status, r.nothingSent
 	a.allowLate = r.attempt.allowLate
 	q.called = q.called || r.called
+	q.callRefused = r.callRefused
 	a.retryAfter, a.detail, a.abandoned = r.retryAfter, r.detail, r.abandoned
 	a.record.Verdict, a.record.Reason, a.record.Status = r.verdict, r.reason, r.status
 	a.record.DurationMS = float64(r.duration) / float64(time.Millisecond)
--- a/process/gate/breaker.go
+++ b/process/gate/breaker.go
@@ -67,6 +67,9 @@
 // reportStatus reports the status of the target's response to the breaker. An error that
 // a failed call of the target explains is not reported.
 func (e *exchange) reportStatus(status int) {
+	e.gate.mu.Lock()
+	e.observeCalls(status)
+	e.gate.mu.Unlock()
 	outcome := breaker.Success
 	if status >= http.StatusInternalServerError {
 		outcome = breaker.Failure
--- a/process/gate/exchange.go
+++ b/process/gate/exchange.go
@@ -54,6 +54,7 @@
 	callerRetries     float64 // share of the work on the entry's host that is a retry
 	breakerOpened     bool    // the breaker opened while the request waited
 	reportedToBreaker bool
+	callRefused       bool // the run failed because a call that it made found no room
 	result            order.Result
 }
 
@@ -66,8 +67,8 @@
 	orderGrace = 30 * time.Second
 )
 
-// serve runs the attempt if registry, poison tracker, breaker, retry budget and
-// admission controller all allow it.
+// serve runs the attempt if registry, poison tracker, breaker, call throttle, retry budget
+// and admission controller all allow it.
 func (e *exchange) serve() {
 	if e.tracked {
 		if !e.beginOrder() {
@@ -84,7 +85,7 @@
 	}
 	e.observeCaller()
 	e.adoptRate()
-	if !e.chargeRetryBudget() || !e.admit() {
+	if !e.checkCallThrottle() || !e.chargeRetryBudget() || !e.admit() {
 		e.releaseTrial()
 		return
 	}
@@ -472,6 +473,7 @@
 	room, called := e.budgetRoom()
 	serviceTime := e.serviceTime(e.gate.now())
 	t := e.gate.targets[e.targetID]
+	callRefused, isCall := e.callRefused, e.gate.callers.Called(e.class)
 	unhealthy, service := t != nil && t.unhealthy, ""
 	if t != nil {
 		service = t.Service
@@ -487,6 +489,12 @@
 	if called {
 		h[attempt.HeaderBudgetRoom] = []string{strconv.FormatFloat(room, 'f', 2, 64)}
 	}
+	if callRefused {
+		h[attempt.HeaderCallRefused] = []string{"1"}
+		if isCall {
+			h[attempt.HeaderCalled] = []string{"1"}
+		}
+	}
 	if unhealthy {
 		h[attempt.HeaderHint] = []string{"0"}
 	}
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -84,8 +84,11 @@
 	calledRoom        retry.CalledRoom
 	callers           class.Callers
 	failedCalls       breaker.FailedCalls // requests of this host that failed at its entry
-	targetCounts      map[string]int      // targets in the whole fleet, by service
-	targetCountsSince time.Time           // when targetCounts was first set
+	refusedCalls      breaker.FailedCalls // those among them that are calls and found no room
+	callThrottle      admission.CallThrottle
+	ranked            bool           // the ranks of the configuration differ
+	targetCounts      map[string]int // targets in the whole fleet, by service
+	targetCountsSince time.Time      // when targetCounts was first set
 	queued            map[admission.Ticket]chan admission.Decision
 	queueStarted      chan struct{}                // wakes Serve when the first attempt is queued
 	waitingRetries    map[attempt.ID]chan struct{} // closed when a waiting retry of an order may call Begin again
@@ -199,14 +202,17 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.config = c
-	g.callers.Prune(func(name string) bool {
+	g.ranked = c.RanksDiffer()
+	configured := func(name string) bool {
 		for _, s := range c.Services {
 			if _, ok := s.Classes[name]; ok {
 				return true
 			}
 		}
 		return false
-	})
+	}
+	g.callers.Prune(configured)
+	g.callThrottle.Prune(func(name string) bool { return g.ranked && configured(name) })
 	now := g.now()
 	for _, t := range g.targets {
 		if !t.down {
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -168,7 +168,7 @@
 		HeaderBytes: int64(s.Limits.HeaderBytes), BodyBytes: s.Limits.BodyBytes,
 		Now: n.now, Rand: newRand(), Log: n.log, Reporter: n.metrics.Invariants, LogService: n.options.LogService,
 		Record: n.record, OnRequestEnd: n.metrics.ObserveRequest, Quarantined: n.gate.Quarantined,
-		HostRetryShare: n.gate.RetryShare, HostRank: n.gate.MostUrgentRank, OnCalledRoom: n.gate.NoteCalledRoom, OnFailedRequest: n.gate.NoteFailedCall,
+		HostRetryShare: n.gate.RetryShare, HostRank: n.gate.MostUrgentRank, OnCalledRoom: n.gate.NoteCalledRoom, OnFailedRequest: n.gate.NoteFailedCall, OnCallRefused: n.gate.NoteRefusedCall,
 		OnCrash: n.gate.MergePoison, OnAccountRefused: func() { n.metrics.Add("account_refused", 1) },
 		AccountBounds: quota.Bounds{Window: s.Defaults.AccountWindow, Overage: s.Defaults.AccountOverage, Slack: s.Defaults.AccountSlack},
 	})
--- a/request/attempt/headers.go
+++ b/request/attempt/headers.go
@@ -23,10 +23,12 @@
 	HeaderService           = "Hyssopsill-Service"
 	HeaderClass             = "Hyssopsill-Class"
 	HeaderCustomer          = "Hyssopsill-Customer"
-	HeaderAccountName       = "Hyssopsill-Account"     // the client account, also towards targets in the default profile
-	HeaderRank              = "Hyssopsill-Rank"        // urgency, 0 is the most urgent: 16 × rank of the account + rank of the class
-	HeaderCallerRank        = "Hyssopsill-Caller-Rank" // the most urgent rank of the work that runs on the entry's host, calls with their inherited rank; that of a call
-	HeaderLoads             = "Hyssopsill-Loads"       // in responses: loads of other targets of the service, with their ages
+	HeaderAccountName       = "Hyssopsill-Account"      // the client account, also towards targets in the default profile
+	HeaderRank              = "Hyssopsill-Rank"         // urgency, 0 is the most urgent: 16 × rank of the account + rank of the class
+	HeaderCallerRank        = "Hyssopsill-Caller-Rank"  // the most urgent rank of the work that runs on the entry's host, calls with their inherited rank; that of a call
+	HeaderCallCounts        = "Hyssopsill-Call-Counts"  // requests of the class that the entry counts, "/", those whose calls found room; both decay
+	HeaderCallRefused       = "Hyssopsill-Call-Refused" // "1", in responses: the run failed because a call that it made found no room
+	HeaderLoads             = "Hyssopsill-Loads"        // in responses: loads of other targets of the service, with their ages
 	HeaderConfigVersion     = "Hyssopsill-Config-Version"
 	HeaderFleet             = "Hyssopsill-Fleet"
 	HeaderVerdict           = "Hyssopsill-Verdict"
@@ -46,7 +48,7 @@
 	HeaderBudgetRoom        = "Hyssopsill-Budget-Room"    // in responses to calls: part (0 to 1) that is left of the retry budgets of the gate and of what its target calls
 	HeaderAgeMS             = "Hyssopsill-Age-Ms"         // time since the request arrived at its entry, milliseconds
 	HeaderNoWait            = "Hyssopsill-No-Wait"        // "1": refuse as busy rather than queue
-	HeaderCalled            = "Hyssopsill-Called"         // "1", in a refusal: the gate takes the work for a call by a target
+	HeaderCalled            = "Hyssopsill-Called"         // "1", in a refusal or with HeaderCallRefused: the gate takes the work for a call by a target
 	HeaderAllowLate         = "Hyssopsill-Allow-Late"     // "1": queue even work that will miss its objective
 	HeaderLong              = "Hyssopsill-Long"           // "1": the entry learned that this is long work
 	TrailerLength           = "Hyssopsill-Length"         // body length, bytes
--- a/request/attempt/outcome.go
+++ b/request/attempt/outcome.go
@@ -19,7 +19,8 @@
 	ReasonTooLarge            Reason = "request-too-large"
 	ReasonNoTarget            Reason = "no-target"
 	ReasonOverload            Reason = "overload"
-	ReasonBusy                Reason = "busy" // no slot is free, and the entry knows of a free one at another target
+	ReasonCallOverload        Reason = "call-overload" // the calls that runs of the class make find no room
+	ReasonBusy                Reason = "busy"          // no slot is free, and the entry knows of a free one at another target
 	ReasonDeadline            Reason = "deadline"
 	ReasonRateLimit           Reason = "rate-limit"
 	ReasonConcurrencyLimit    Reason = "concurrency-limit"
--- a/request/record/sentence.go
+++ b/request/record/sentence.go
@@ -202,6 +202,7 @@
 	attempt.ReasonTooLarge:            "its body was larger than the class allows",
 	attempt.ReasonNoTarget:            "no target of the service was available",
 	attempt.ReasonOverload:            "the slots and queues of the service were full",
+	attempt.ReasonCallOverload:        "the calls that such requests make found no room",
 	attempt.ReasonBusy:                "its slots were taken and another target was known to have a free one",
 	attempt.ReasonRetryBudget:         "the retry budget of the service was exhausted",
 	attempt.ReasonTargetFailing:       "its gate had just seen the target fail",
