--- a/process/entry/calls.go
+++ b/process/entry/calls.go
@@ -46,7 +46,12 @@
 	counts.Add(now, 1, accepted)
 }
 
-// callCountsOf returns the value of HeaderCallCounts for a request, "" without counts.
+// minReportedRefusals is the decayed count of requests without room from which an entry
+// reports its counts. Without any, the field would only add bytes to each request.
+const minReportedRefusals = 0.1
+
+// callCountsOf returns the value of HeaderCallCounts for a request, "" if its class found
+// room lately.
 func (e *Entry) callCountsOf(q *request) string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -54,5 +59,8 @@
 	if counts == nil {
 		return ""
 	}
-	return counts.At(e.now()).String()
+	if at := counts.At(e.now()); at.Requests-at.Accepted >= minReportedRefusals {
+		return at.String()
+	}
+	return ""
 }
