--- a/process/entry/fleet.go
+++ b/process/entry/fleet.go
@@ -6,13 +6,13 @@
 	"slices"
 	"time"
 
+	"github.com/hyssopsill/hyssopsill/connection/admission"
 	"github.com/hyssopsill/hyssopsill/connection/health"
 	"github.com/hyssopsill/hyssopsill/connection/quota"
 	"github.com/hyssopsill/hyssopsill/connection/ratelimit"
 	"github.com/hyssopsill/hyssopsill/connection/selection"
 	"github.com/hyssopsill/hyssopsill/process/gate"
 	"github.com/hyssopsill/hyssopsill/request/account"
-	"github.com/hyssopsill/hyssopsill/request/attempt"
 	"github.com/hyssopsill/hyssopsill/request/class"
 	"github.com/hyssopsill/hyssopsill/request/order"
 	"github.com/hyssopsill/hyssopsill/version/config"
@@ -34,31 +34,6 @@
 	return quota.Effective(now, r.held[account], r.limits[account])
 }
 
-// hasRanks reports whether the ranks of the accounts and classes of a configuration
-// differ. Accounts without a rank have that of the class.
-func hasRanks(c *config.Config) bool {
-	first, known := 0, false
-	differs := func(rank int) bool {
-		if !known {
-			first, known = rank, true
-		}
-		return rank != first
-	}
-	for _, s := range c.Services {
-		for _, class := range s.Classes {
-			if differs(attempt.CombinedRank(class.Rank, class.Rank)) {
-				return true
-			}
-			for _, a := range c.Accounts {
-				if a.Rank != nil && differs(attempt.CombinedRank(*a.Rank, class.Rank)) {
-					return true
-				}
-			}
-		}
-	}
-	return false
-}
-
 // hasIdempotent reports whether a service has a class of idempotent work.
 func (r *routing) hasIdempotent(service string) bool {
 	for _, c := range r.config.Services[service].Classes {
@@ -133,13 +108,17 @@
 			CustomerBurst: s.CustomerBurst, CustomerConcurrency: s.CustomerConcurrency,
 		}
 	}
-	next := &routing{config: c, table: class.NewRouteTable(routes), accounts: accountTable(c), ranked: hasRanks(c), limits: accountLimits(c)}
+	next := &routing{config: c, table: class.NewRouteTable(routes), accounts: accountTable(c), ranked: c.RanksDiffer(), limits: accountLimits(c)}
 	if last := e.routing.Load(); last != nil {
 		next.held = quota.HoldLowered(e.now(), e.options.AccountBounds.Window, last.held, last.limits, next.limits)
 	}
 	e.routing.Store(next)
 	e.mu.Lock()
 	e.limiter.SetServices(e.now(), limits)
+	maps.DeleteFunc(e.callCounts, func(k classKey, _ *admission.CallCounts) bool {
+		_, ok := c.Services[k.service].Classes[k.class]
+		return !ok
+	})
 	maps.DeleteFunc(e.meanSizes, func(id string, _ float64) bool { return !routeIDs[id] })
 	e.learner.Prune(func(id string) bool { return routeIDs[id] })
 	for name := range e.budgets {
