process/control: hold back the messages of clients without the fleet token

drpc buffers up to 2 MiB of a message and decodes metadata before the handler checks the token, and a connection that sends nothing stays open for 30 s. 100 strangers on peer_control (80 connections) made a process hold 487,264 KiB, and silent ones kept a peer's call waiting for more than 10 s.

The bytes behind the first call's method name reach drpc only when the token was right. The first call is bounded (4 KiB, 8 pairs of metadata) and must arrive within read_header_timeout. Connections of peer_control are counted in the memory budget and have the write timeout. Those without the token make room for others, those of peers do not.

The other tests of untrusted_test.go also check now that a peer's call is answered within 10 s; their crowds and bounds are as before.

--- a/cmd/hyssopsilld/untrusted_test.go
+++ b/cmd/hyssopsilld/untrusted_test.go
@@ -1,16 +1,23 @@
 package main_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
+
+	"storj.io/drpc/drpcmetadata"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/hyssopsill/hyssopsill/process/control"
 )
 
 // The tests of this file start one process each and do not run in parallel. They
@@ -93,8 +100,14 @@
 func checkUntrusted(t *testing.T, client untrustedClient) {
 	t.Helper()
 	n := startUntrustedNode(t)
+	n.checkCrowd(t, n.listeners(), client)
+}
+
+// checkCrowd runs the clients against the listeners of a process and checks it.
+func (n *untrustedNode) checkCrowd(t *testing.T, listeners map[string]string, client untrustedClient) {
+	t.Helper()
 	var connections []net.Conn
-	for name, address := range n.listeners() {
+	for name, address := range listeners {
 		for range untrustedClients {
 			conn, err := net.DialTimeout("tcp", address, untrustedWriteTime)
 			if err != nil {
@@ -134,6 +147,13 @@
 	eventually(t, 40*time.Second, "an ordinary request is answered", func() bool {
 		return n.sendRequest(http.MethodGet, "/kits", "").status == http.StatusOK
 	})
+	// So does a peer. It would be suspected after some seconds without an answer.
+	peer := control.NewClient(control.ClientOptions{Token: fleetToken})
+	defer func() { _ = peer.Close() }()
+	eventually(t, 10*time.Second, "a call of a peer is answered", func() bool {
+		_, err := peer.Status(context.Background(), n.control)
+		return err == nil
+	})
 	select {
 	case <-n.exited:
 		t.Error("the process has ended")
@@ -303,6 +323,71 @@
 	})
 }
 
+// checkControlCrowd runs clients without the fleet token against peer_control.
+func checkControlCrowd(t *testing.T, client untrustedClient) {
+	t.Helper()
+	n := startUntrustedNode(t)
+	n.checkCrowd(t, map[string]string{"peer_control": n.control}, client)
+}
+
+// controlFrame returns a frame of the first call of a connection to peer_control.
+func controlFrame(kind drpcwire.Kind, message uint64, done bool, data []byte) string {
+	return string(drpcwire.AppendFrame(nil, drpcwire.Frame{
+		ID: drpcwire.ID{Stream: 1, Message: message}, Kind: kind, Done: done, Data: data,
+	}))
+}
+
+// Guards against control messages of a stranger that are buffered, decoded or echoed
+// before the fleet token is checked: a message without its end, in one frame or in
+// many, thousands of metadata pairs, a huge method name, and a huge message of a call
+// without the token.
+func TestUntrustedControlMessages(t *testing.T) {
+	const size = control.MaxRequestBytes - 1024
+	pairs := map[string]string{}
+	for i := range size / 12 {
+		pairs[strconv.FormatInt(int64(i), 36)] = ""
+	}
+	metadata, err := drpcmetadata.Encode(nil, pairs)
+	if err != nil || len(metadata) > control.MaxRequestBytes {
+		t.Fatalf("metadata of %d bytes: %v", len(metadata), err)
+	}
+	data := make([]byte, size)
+	invoke := controlFrame(drpcwire.KindInvoke, 1, true, []byte("/hyssopsill.Control/Exchange"))
+	whole := controlFrame(drpcwire.KindInvoke, 1, true, data)
+	patterns := []string{
+		whole[:len(whole)-1],
+		strings.Repeat(controlFrame(drpcwire.KindInvoke, 1, false, data[:60<<10]), size/(60<<10)),
+		controlFrame(drpcwire.KindInvokeMetadata, 1, true, metadata) + invoke,
+		whole,
+		invoke + controlFrame(drpcwire.KindMessage, 2, false, data),
+	}
+	checkControlCrowd(t, func(conn net.Conn, number int) { send(conn, patterns[number%len(patterns)]) })
+}
+
+// Guards against an endless sequence of metadata, each part of which is within the
+// bounds of a message.
+func TestUntrustedControlEndlessMetadata(t *testing.T) {
+	metadata, err := drpcmetadata.Encode(nil, map[string]string{"key": strings.Repeat("v", 32<<10)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	checkControlCrowd(t, func(conn net.Conn, _ int) {
+		for ok, i := true, uint64(1); ok && i < 64; i++ {
+			ok = send(conn, controlFrame(drpcwire.KindInvokeMetadata, i, true, metadata))
+		}
+	})
+}
+
+// Guards against strangers that occupy all connections of peer_control: some send
+// nothing, others the beginning of a frame.
+func TestUntrustedControlSilentConnections(t *testing.T) {
+	checkControlCrowd(t, func(conn net.Conn, number int) {
+		if number%2 == 0 {
+			send(conn, controlFrame(drpcwire.KindInvoke, 1, true, make([]byte, 100))[:50])
+		}
+	})
+}
+
 // Guards against bounds that refuse a legal request: 16 KB of very short lines, when
 // nothing else is going on.
 func TestSingleHeadOfShortLinesIsServed(t *testing.T) {
--- a/process/control/control_test.go
+++ b/process/control/control_test.go
@@ -44,7 +44,12 @@
 
 func startServer(t *testing.T) (*control.Server, string) {
 	t.Helper()
-	server, err := control.NewServer(control.ServerOptions{Token: "secret"}, echoHandler{})
+	return startServerWith(t, control.ServerOptions{Token: "secret"})
+}
+
+func startServerWith(t *testing.T, o control.ServerOptions) (*control.Server, string) {
+	t.Helper()
+	server, err := control.NewServer(o, echoHandler{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/process/control/guard.go
@@ -0,0 +1,225 @@
+package control
+
+import (
+	"container/list"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"storj.io/drpc/drpcmetadata"
+	"storj.io/drpc/drpcwire"
+)
+
+const (
+	// maxHandshakeBytes bounds the metadata and the method name of the first call of
+	// a connection.
+	maxHandshakeBytes = 4 << 10
+	// maxMetadataPairs bounds the metadata of the first call, as pairs of a few bytes
+	// take many times their bytes once decoded. Nodes send one.
+	maxMetadataPairs = 8
+	// maxTokenBytes leaves the rest of the handshake to the method name and framing.
+	maxTokenBytes = 3 << 10
+	// refusedLinger is how long the bytes of a refused connection are discarded, so
+	// that unread bytes don't reset it before its client has read the refusal.
+	refusedLinger = 500 * time.Millisecond
+)
+
+var (
+	errHandshake = errors.New("control: the first call is malformed or too long")
+	errRefused   = errors.New("control: connection without the fleet token")
+)
+
+// guardState is what is known of the client of a guardedConn.
+type guardState int
+
+const (
+	guardHandshake guardState = iota // its first call is not complete
+	guardPending                     // the first call awaits the check of the token
+	guardAccepted                    // the token was shown
+	guardRefused                     // the first call lacked the token
+)
+
+// guardedConn holds the bytes of a connection back until its first call has shown the
+// fleet token. It answers clients without the token that send messages which are huge
+// or have no end: drpc buffers 2 MiB of them, and decodes metadata, before it calls
+// the handler. Of such a client only the handshake is held. Reads are not concurrent.
+type guardedConn struct {
+	net.Conn
+	onAccept func() // called once, when the token was shown
+
+	held     []byte        // bytes read and not yet passed on
+	passable int           // bytes of held that may be passed on
+	decided  chan struct{} // closed when the first call was checked, or at the end
+	once     sync.Once
+
+	mu    sync.Mutex
+	state guardState
+}
+
+func newGuardedConn(conn net.Conn, deadline time.Time) *guardedConn {
+	_ = conn.SetReadDeadline(deadline) // fails only if the connection is closed
+	return &guardedConn{Conn: conn, decided: make(chan struct{}), onAccept: func() {}}
+}
+
+// Read passes on the first call without its message, then nothing until the token was
+// checked, then everything or nothing.
+func (c *guardedConn) Read(p []byte) (int, error) {
+	if c.current() == guardHandshake {
+		if err := c.readHandshake(); err != nil {
+			return 0, err
+		}
+	}
+	if c.passable > 0 {
+		return c.pass(p, c.passable), nil
+	}
+	<-c.decided
+	if c.current() != guardAccepted {
+		c.discard()
+		return 0, errRefused
+	}
+	if len(c.held) > 0 {
+		return c.pass(p, len(c.held)), nil
+	}
+	return c.Conn.Read(p)
+}
+
+// pass moves up to n held bytes to p.
+func (c *guardedConn) pass(p []byte, n int) int {
+	n = copy(p, c.held[:n])
+	c.held, c.passable = c.held[n:], max(0, c.passable-n)
+	if len(c.held) == 0 {
+		c.held = nil
+	}
+	return n
+}
+
+// readHandshake reads until the first call is complete.
+func (c *guardedConn) readHandshake() error {
+	c.held = make([]byte, 0, maxHandshakeBytes)
+	for {
+		end, err := handshakeEnd(c.held)
+		if err != nil {
+			return err
+		}
+		if end > 0 {
+			c.passable = end
+			c.setState(guardPending)
+			return nil
+		}
+		if len(c.held) == cap(c.held) {
+			return errHandshake
+		}
+		n, err := c.Conn.Read(c.held[len(c.held):cap(c.held)])
+		c.held = c.held[:len(c.held)+n]
+		if n == 0 && err != nil {
+			return err
+		}
+	}
+}
+
+// handshakeEnd returns the number of bytes up to the end of the first call's method
+// name, or 0 while it is not complete. Only metadata may stand before it.
+func handshakeEnd(data []byte) (int, error) {
+	for rest := data; ; {
+		after, frame, ok, err := drpcwire.ParseFrame(rest)
+		switch {
+		case err != nil:
+			return 0, fmt.Errorf("%w: %w", errHandshake, err)
+		case !ok:
+			return 0, nil
+		case frame.Kind == drpcwire.KindInvoke && frame.Done:
+			return len(data) - len(after), nil
+		case frame.Kind == drpcwire.KindInvokeMetadata && frame.Done:
+			pairs, err := drpcmetadata.Decode(frame.Data)
+			if err != nil || len(pairs) > maxMetadataPairs {
+				return 0, errHandshake
+			}
+		default:
+			return 0, errHandshake
+		}
+		rest = after
+	}
+}
+
+// decide notes whether a call showed the token. Only the first one counts.
+func (c *guardedConn) decide(authorized bool) {
+	c.mu.Lock()
+	if c.state != guardPending {
+		c.mu.Unlock()
+		return
+	}
+	c.state = guardRefused
+	deadline := time.Now().Add(refusedLinger)
+	if authorized {
+		c.state, deadline = guardAccepted, time.Time{}
+	}
+	c.mu.Unlock()
+	_ = c.SetReadDeadline(deadline) // fails only if the connection is closed
+	if authorized {
+		c.onAccept()
+	}
+	c.once.Do(func() { close(c.decided) })
+}
+
+// discard reads what a refused client still sends, until its end or the deadline.
+func (c *guardedConn) discard() {
+	c.held = nil
+	for scratch := make([]byte, maxHandshakeBytes); ; {
+		if _, err := c.Conn.Read(scratch); err != nil {
+			return
+		}
+	}
+}
+
+// Close closes the connection and ends a Read that awaits the check of the token.
+func (c *guardedConn) Close() error {
+	c.once.Do(func() { close(c.decided) })
+	return c.Conn.Close()
+}
+
+func (c *guardedConn) current() guardState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state
+}
+
+func (c *guardedConn) setState(s guardState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state = s
+}
+
+// stranger is a connection on which the token was not shown.
+type stranger struct {
+	conn  net.Conn
+	since time.Time
+}
+
+func (s *Server) addStranger(conn net.Conn) *list.Element {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.strangers.PushBack(stranger{conn, time.Now()})
+}
+
+// removeStranger has no effect the second time.
+func (s *Server) removeStranger(e *list.Element) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.strangers.Remove(e)
+}
+
+// CloseStranger closes the connection that is open for the longest time without having
+// shown the fleet token, unless that is less than minAge. It reports whether it closed one.
+func (s *Server) CloseStranger(minAge time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	oldest := s.strangers.Front()
+	if oldest == nil || time.Since(oldest.Value.(stranger).since) < minAge {
+		return false
+	}
+	s.strangers.Remove(oldest)
+	_ = oldest.Value.(stranger).conn.Close() // its server may have closed it
+	return true
+}
--- a/process/control/meter.go
+++ b/process/control/meter.go
@@ -39,6 +39,7 @@
 // connection, so the bytes since the last call belong to the current one.
 type countedConn struct {
 	net.Conn
+	guarded *guardedConn // nil at a client
 	in, out atomic.Int64
 }
 
--- a/process/control/server.go
+++ b/process/control/server.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"container/list"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
@@ -42,6 +43,10 @@
 	// may keep one open.
 	DefaultMaxConnections = 2048
 
+	// DefaultHandshakeTimeout bounds the time from the accept of a connection to its
+	// first call. A peer that dials calls at once.
+	DefaultHandshakeTimeout = 3 * time.Second
+
 	tokenKey          = "fleet"
 	inactivityTimeout = 30 * time.Second
 	acceptRetryDelay  = 50 * time.Millisecond
@@ -79,6 +84,12 @@
 	// MaxConnections bounds the open connections. A further one is closed at
 	// once. Default 2048.
 	MaxConnections int
+	// HandshakeTimeout bounds how long a connection may stay without a call that
+	// shows the fleet token. Default 3s.
+	HandshakeTimeout time.Duration
+	// OnPeer is called once for each connection on which the fleet token was shown,
+	// with the connection as it was accepted. Default none.
+	OnPeer func(net.Conn)
 }
 
 // Server serves the calls of other nodes.
@@ -87,6 +98,9 @@
 	token   [sha256.Size]byte
 	mux     *drpcmux.Mux
 	server  *drpcserver.Server
+
+	mu        sync.Mutex
+	strangers list.List // connections without the fleet token, the oldest first
 }
 
 // NewServer returns a server. It fails without a token.
@@ -103,6 +117,15 @@
 	if o.MaxConnections <= 0 {
 		o.MaxConnections = DefaultMaxConnections
 	}
+	if o.HandshakeTimeout <= 0 {
+		o.HandshakeTimeout = DefaultHandshakeTimeout
+	}
+	if o.OnPeer == nil {
+		o.OnPeer = func(net.Conn) {}
+	}
+	if len(o.Token) > maxTokenBytes {
+		return nil, fmt.Errorf("control: fleet token of %d bytes, at most %d", len(o.Token), maxTokenBytes)
+	}
 	s := &Server{options: o, token: sha256.Sum256([]byte(o.Token)), mux: drpcmux.New()}
 	if err := controlpb.DRPCRegisterControl(s.mux, &rpcService{handler: h}); err != nil {
 		return nil, fmt.Errorf("control: %w", err)
@@ -152,7 +175,14 @@
 }
 
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
-	counted := &countedConn{Conn: conn}
+	guarded := newGuardedConn(conn, time.Now().Add(s.options.HandshakeTimeout))
+	counted := &countedConn{Conn: guarded, guarded: guarded}
+	stranger := s.addStranger(guarded)
+	defer s.removeStranger(stranger)
+	guarded.onAccept = func() {
+		s.removeStranger(stranger)
+		s.options.OnPeer(conn)
+	}
 	err := s.server.ServeOne(context.WithValue(ctx, connKey{}, counted), counted)
 	if in, out := counted.resetCounts(); in+out > 0 {
 		s.options.Meter.add("none", in, out, nil)
@@ -175,8 +205,12 @@
 			s.options.Meter.add(s.knownMethod(rpc), in, out, err)
 		}
 	}()
-	if !s.authorized(stream.Context()) {
-		return drpcerr.WithCode(fmt.Errorf("control: %s: fleet token missing or wrong", rpc), CodeUnauthorized)
+	authorized := s.authorized(stream.Context())
+	if counted, ok := stream.Context().Value(connKey{}).(*countedConn); ok {
+		counted.guarded.decide(authorized)
+	}
+	if !authorized {
+		return drpcerr.WithCode(fmt.Errorf("control: %s: fleet token missing or wrong", s.knownMethod(rpc)), CodeUnauthorized)
 	}
 	return s.mux.HandleRPC(stream, rpc)
 }
--- a/process/node/listen.go
+++ b/process/node/listen.go
@@ -46,9 +46,8 @@
 			return fmt.Errorf("node: listener %s: %w", spec.name, err)
 		}
 		limited := limitConnections(spec.name, listener, s.Limits.Connections, logger)
-		if spec.name != "peer_control" { // not HTTP; its server has its own bounds
-			limited.memory, limited.writeTimeout = m, s.Limits.WriteTimeout
-		}
+		limited.memory, limited.writeTimeout = m, s.Limits.WriteTimeout
+		limited.control = spec.name == "peer_control"
 		*spec.to = limited
 	}
 	return nil
@@ -90,6 +89,7 @@
 
 	memory       *memory       // nil: no bound
 	writeTimeout time.Duration // 0: no bound
+	control      bool          // not HTTP: a connection has a fixed charge
 	// closeWaiting closes the connection that has waited for a request for the longest
 	// time, unless that is less than headerWait. It may be nil.
 	closeWaiting func()
@@ -107,12 +107,15 @@
 			<-l.slots
 			return nil, err
 		}
-		c := &limitedConn{Conn: conn, release: func() { <-l.slots }, headerSince: time.Now(), memory: l.memory, writeTimeout: l.writeTimeout}
+		c := &limitedConn{Conn: conn, release: func() { <-l.slots }, headerSince: time.Now(), memory: l.memory, writeTimeout: l.writeTimeout, control: l.control}
 		c.holder.Value = c
+		if l.control {
+			c.charge.head = strangerBytes
+		}
 		if l.memory == nil {
 			return c, nil
 		}
-		if !l.memory.update(c, connectionBytes, true) {
+		if !l.memory.update(c, c.charge.total(), true) {
 			_ = c.Close() // nothing was read from it
 			continue
 		}
@@ -190,7 +193,7 @@
 	return l.Listener.Close()
 }
 
-// limitedConn is a connection of an HTTP server. It knows whether a request is on its
+// limitedConn is a connection of a listener. That of an HTTP server knows whether a request is on its
 // way or runs, so that a shutdown ends only reads that wait for a further request.
 type limitedConn struct {
 	net.Conn
@@ -203,6 +206,7 @@
 	readsExpired bool      // reads fail until one has returned a byte
 
 	memory        *memory
+	control       bool // not HTTP: its charge is fixed
 	holder        membudget.Holder
 	charge        connCharge
 	writeTimeout  time.Duration // within which the client must read something of a response
@@ -231,6 +235,9 @@
 }
 
 func (c *limitedConn) Read(p []byte) (int, error) {
+	if c.control {
+		return c.Conn.Read(p)
+	}
 	readsBody := c.beforeRead(len(p))
 	n, err := c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.expired() {
@@ -305,6 +312,14 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// setPeer notes that the client of a connection to peer_control is a node of the
+// fleet, so that the connection is not closed to make room for others.
+func (c *limitedConn) setPeer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.memory.update(c, c.charge.total(), false) // the charge does not grow
+}
+
 func (c *limitedConn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/process/node/memory.go
+++ b/process/node/memory.go
@@ -23,6 +23,9 @@
 	// connectionBytes is the stack, the read and write buffers of 4 KiB each, and the
 	// state of an HTTP server for one connection.
 	connectionBytes = 20 << 10
+	// strangerBytes is what a connection to peer_control holds beside connectionBytes
+	// before the fleet token was shown. TestStrangerHoldsLittle measures the sum.
+	strangerBytes = 12 << 10
 	// lineBytes is what a header line costs once parsed, beside its bytes, in the
 	// request and in its copy for the next hop.
 	lineBytes = 256
@@ -228,7 +231,7 @@
 // Write sends a part of a response. It fails when the client reads nothing for the
 // write timeout of the listener.
 func (c *limitedConn) Write(p []byte) (int, error) {
-	if len(p) > serverBufferBytes {
+	if len(p) > serverBufferBytes && !c.control { // responses of peer_control go to nodes of the fleet
 		if !c.chargeResponse(int64(len(p))) {
 			return 0, &net.OpError{Op: "write", Net: "tcp", Err: errMemory}
 		}
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -5,6 +5,7 @@
 	"errors"
 	"expvar"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -109,13 +110,20 @@
 	node.metrics.Set("config_log", expvar.Func(node.logStatusMetric))
 	server, err := control.NewServer(control.ServerOptions{
 		Token: o.Settings.FleetToken, Meter: node.meter, MaxConnections: o.Settings.Limits.Connections,
-		Log: func(err error) { node.log.Debug().Msgf("node: %v", err) },
+		HandshakeTimeout: o.Settings.Limits.ReadHeaderTimeout,
+		OnPeer:           func(conn net.Conn) { conn.(*limitedConn).setPeer() },
+		Log:              func(err error) { node.log.Debug().Msgf("node: %v", err) },
 	}, peerHandler{node})
 	if err != nil {
 		node.listeners.close()
 		return nil, err
 	}
 	node.control = server
+	node.listeners.peerControl.closeWaiting = func() {
+		if server.CloseStranger(headerWait) {
+			node.memory.replaced.Add(1)
+		}
+	}
 	node.supervise()
 	return node, nil
 }
