process/node: the charge of a connection neither grows nor drops with its reads

What is left in the read buffer was counted until a read found the buffer empty. A client that pipelines may never let that happen: 460,120 bytes were charged after 180 small requests. It is now computed from the free space that each read offers.

When the previous read had brought the first lines of a head, a read into the empty buffer dropped them: 55,598 bytes were charged for a head that the estimate puts at 88,302. The charge now begins anew only while net/http waits for a request, which it shows by its read deadlines.

--- a/process/node/listen.go
+++ b/process/node/listen.go
@@ -204,6 +204,9 @@
 	phase        connPhase
 	headerSince  time.Time // in phaseHeader: when it began
 	readsExpired bool      // reads fail until one has returned a byte
+	// idleDeadlines is 2 when the connection becomes idle, less 1 for each read deadline
+	// that the server sets. It is 0 before the server parses the next request.
+	idleDeadlines int
 
 	memory        *memory
 	control       bool // not HTTP: its charge is fixed
@@ -282,7 +285,7 @@
 		return false, true
 	}
 	inHead = c.phase != phaseRequest
-	if changed := c.charge.noteRead(p, size, inHead, first); changed || readsBody {
+	if changed := c.charge.noteRead(p, size, inHead, first && c.idleDeadlines > 0); changed || readsBody {
 		return inHead, c.memory.update(c, c.charge.total(), inHead)
 	}
 	return inHead, true
@@ -302,10 +305,13 @@
 	return c.readsExpired
 }
 
-// SetReadDeadline has no effect while reads are expired.
+// SetReadDeadline has no effect while reads are expired. net/http sets one when
+// the connection becomes idle, waits for the next request, which may be in its buffer,
+// and sets another one before it parses it.
 func (c *limitedConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.idleDeadlines = max(0, c.idleDeadlines-1)
 	if c.readsExpired {
 		return nil
 	}
@@ -323,7 +329,7 @@
 func (c *limitedConn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase = phaseIdle
+	c.phase, c.idleDeadlines = phaseIdle, 2
 	c.charge.endRequest()
 	c.memory.update(c, c.charge.total(), true) // the charge does not grow
 }
--- a/process/node/memory.go
+++ b/process/node/memory.go
@@ -175,29 +175,51 @@
 // connCharge is what one connection holds, by its estimate.
 type connCharge struct {
 	head     int64 // of the head that is read or runs
-	buffered int64 // of the bytes that may be in the read buffer of the server
+	buffered readBuffer
 	body     int64 // bytes of the body that were read
 	charged  int64 // for the body
 }
 
+// readBuffer estimates what is in the read buffer of the server.
+type readBuffer struct {
+	size, lines         int // of the bytes in it
+	lastSize, lastLines int // of the last read
+}
+
+// noteRead adds bytes that were read into free bytes of the buffer. Those that the
+// server has taken out of it meanwhile are subtracted, as a client that pipelines
+// requests may never let it become empty.
+func (b *readBuffer) noteRead(free, size, lines int) {
+	left := min(b.size, max(0, serverBufferBytes-free))
+	if left <= b.lastSize { // only bytes of the last read are left
+		b.lines = b.lastLines
+	}
+	b.size, b.lines = left+size, min(b.lines, left)+lines
+	b.lastSize, b.lastLines = size, lines
+}
+
+// cost returns the charge for the bytes in the buffer.
+func (b *readBuffer) cost() int64 { return headCost(b.size, b.lines) }
+
 // total returns the charge without a response.
 func (c *connCharge) total() int64 { return connectionBytes + c.head + c.charged }
 
 // noteRead adds bytes that were read into a buffer of a size. inHead tells that they
-// belong to a head, first that they are the first ones of it. It reports whether the
-// charge has changed.
+// belong to a head, first that nothing of this head was parsed before. It reports whether
+// the charge has changed.
 func (c *connCharge) noteRead(p []byte, size int, inHead, first bool) bool {
 	cost := int64(0)
-	if size <= serverBufferBytes { // else the bytes bypass the read buffer, as only bodies do
-		cost = headCost(len(p), bytes.Count(p, []byte{'\n'}))
-	}
 	if size >= serverBufferBytes {
-		c.buffered = 0
+		c.buffered = readBuffer{}
 		if first {
 			c.head = 0
 		}
 	}
-	c.buffered += cost
+	if size <= serverBufferBytes { // else the bytes bypass the read buffer, as only bodies do
+		lines := bytes.Count(p, []byte{'\n'})
+		cost = headCost(len(p), lines)
+		c.buffered.noteRead(size, len(p), lines)
+	}
 	if inHead {
 		c.head += cost
 		return true
@@ -210,7 +232,7 @@
 
 // endRequest releases the request. What may be left in the read buffer belongs to the
 // next one.
-func (c *connCharge) endRequest() { c.head, c.body, c.charged = c.buffered, 0, 0 }
+func (c *connCharge) endRequest() { c.head, c.body, c.charged = c.buffered.cost(), 0, 0 }
 
 var errMemory = errors.New("the memory for connections is used up")
 
