--- a/process/node/node_test.go
+++ b/process/node/node_test.go
@@ -48,12 +48,18 @@
 	done   chan error
 }
 
-func startTestNode(t *testing.T, name, domain string, log eventlog.Store) *testNode {
+func startTestNode(t testing.TB, name, domain string, log eventlog.Store) *testNode {
 	t.Helper()
 	return startTestNodeWith(t, name, domain, log, settings.Defaults{})
 }
 
-func startTestNodeWith(t *testing.T, name, domain string, log eventlog.Store, defaults settings.Defaults) *testNode {
+func startTestNodeWith(t testing.TB, name, domain string, log eventlog.Store, defaults settings.Defaults) *testNode {
+	t.Helper()
+	return startPreparedNode(t, name, domain, log, defaults, func(*Node) {})
+}
+
+// startPreparedNode calls prepare before the node serves.
+func startPreparedNode(t testing.TB, name, domain string, log eventlog.Store, defaults settings.Defaults, prepare func(*Node)) *testNode {
 	t.Helper()
 	any := "127.0.0.1:0"
 	s := settings.Settings{Node: name, Domain: domain, FleetToken: "token-of-the-test", LogURL: "http://127.0.0.1:1",
@@ -64,6 +70,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	prepare(n)
 	ctx, cancel := context.WithCancel(context.Background())
 	node := &testNode{Node: n, cancel: cancel, done: make(chan error, 1)}
 	go func() { node.done <- n.Serve(ctx) }()
@@ -76,7 +83,7 @@
 	return node
 }
 
-func startTarget(t *testing.T, node *testNode, id string) *target.Target {
+func startTarget(t testing.TB, node *testNode, id string) *target.Target {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -92,7 +99,7 @@
 	return standinTarget
 }
 
-func publishConfig(t *testing.T, log eventlog.Store, text string) {
+func publishConfig(t testing.TB, log eventlog.Store, text string) {
 	t.Helper()
 	parsed, findings := config.Parse("test.toml", []byte(text))
 	if len(findings) > 0 {
