--- a/process/node/node_test.go
+++ b/process/node/node_test.go
@@ -61,10 +61,16 @@
 // startPreparedNode calls prepare before the node serves.
 func startPreparedNode(t testing.TB, name, domain string, log eventlog.Store, defaults settings.Defaults, prepare func(*Node)) *testNode {
 	t.Helper()
-	return startTestNodeFrom(t, name, domain, log, func(s *settings.Settings) { s.Defaults = defaults })
+	return startChangedNode(t, name, domain, log, func(s *settings.Settings) { s.Defaults = defaults }, prepare)
 }
 
-func startTestNodeFrom(t *testing.T, name, domain string, log eventlog.Store, change func(*settings.Settings)) *testNode {
+func startTestNodeFrom(t testing.TB, name, domain string, log eventlog.Store, change func(*settings.Settings)) *testNode {
+	t.Helper()
+	return startChangedNode(t, name, domain, log, change, func(*Node) {})
+}
+
+// startChangedNode starts a node with changed settings and calls prepare before it serves.
+func startChangedNode(t testing.TB, name, domain string, log eventlog.Store, change func(*settings.Settings), prepare func(*Node)) *testNode {
 	t.Helper()
 	any := "127.0.0.1:0"
 	s := settings.Settings{Node: name, Domain: domain, FleetToken: "token-of-the-test", LogURL: "http://127.0.0.1:1",
