--- a/cmd/hyssopsilld/untrusted_test.go
+++ b/cmd/hyssopsilld/untrusted_test.go
@@ -49,7 +49,7 @@
 	metrics string
 }
 
-// listeners returns the addresses that a stranger can reach.
+// listeners returns the addresses that any client can reach.
 func (n *untrustedNode) listeners() map[string]string {
 	return map[string]string{"caller": n.caller, "peer_data": n.data, "announce": n.announce, "admin": n.admin, "metrics": n.metrics}
 }
@@ -337,7 +337,7 @@
 	}))
 }
 
-// Guards against control messages of a stranger that are buffered, decoded or echoed
+// Guards against control messages of an unauthenticated client that are buffered, decoded or echoed
 // before the fleet token is checked: a message without its end, in one frame or in
 // many, thousands of metadata pairs, a huge method name, and a huge message of a call
 // without the token.
@@ -378,7 +378,7 @@
 	})
 }
 
-// Guards against strangers that occupy all connections of peer_control: some send
+// Guards against unauthenticated clients that occupy all connections of peer_control: some send
 // nothing, others the beginning of a frame.
 func TestUntrustedControlSilentConnections(t *testing.T) {
 	checkControlCrowd(t, func(conn net.Conn, number int) {
--- a/process/control/guard.go
+++ b/process/control/guard.go
@@ -191,35 +191,35 @@
 	c.state = s
 }
 
-// stranger is a connection on which the token was not shown.
-type stranger struct {
+// unauthenticatedConn is a connection on which the token was not shown.
+type unauthenticatedConn struct {
 	conn  net.Conn
 	since time.Time
 }
 
-func (s *Server) addStranger(conn net.Conn) *list.Element {
+func (s *Server) addUnauthenticated(conn net.Conn) *list.Element {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.strangers.PushBack(stranger{conn, time.Now()})
+	return s.unauthenticated.PushBack(unauthenticatedConn{conn, time.Now()})
 }
 
-// removeStranger has no effect the second time.
-func (s *Server) removeStranger(e *list.Element) {
+// removeUnauthenticated has no effect the second time.
+func (s *Server) removeUnauthenticated(e *list.Element) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.strangers.Remove(e)
+	s.unauthenticated.Remove(e)
 }
 
-// CloseStranger closes the connection that is open for the longest time without having
+// CloseUnauthenticated closes the connection that is open for the longest time without having
 // shown the fleet token, unless that is less than minAge. It reports whether it closed one.
-func (s *Server) CloseStranger(minAge time.Duration) bool {
+func (s *Server) CloseUnauthenticated(minAge time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	oldest := s.strangers.Front()
-	if oldest == nil || time.Since(oldest.Value.(stranger).since) < minAge {
+	oldest := s.unauthenticated.Front()
+	if oldest == nil || time.Since(oldest.Value.(unauthenticatedConn).since) < minAge {
 		return false
 	}
-	s.strangers.Remove(oldest)
-	_ = oldest.Value.(stranger).conn.Close() // its server may have closed it
+	s.unauthenticated.Remove(oldest)
+	_ = oldest.Value.(unauthenticatedConn).conn.Close() // its server may have closed it
 	return true
 }
--- a/process/control/guard_test.go
+++ b/process/control/guard_test.go
@@ -13,12 +13,12 @@
 
 // Guards against a connection that holds more than its charge at the node (32 KiB)
 // before the fleet token was shown, and against one that stays open without a call.
-func TestStrangerHoldsLittle(t *testing.T) {
+func TestUnauthenticatedClientHoldsLittle(t *testing.T) {
 	const count, charge = 200, 32 << 10
 	var server *control.Server
 	var address string
 	t.Cleanup(func() { // after the end of the server
-		if server.CloseStranger(0) {
+		if server.CloseUnauthenticated(0) {
 			t.Error("a closed connection is still listed")
 		}
 	})
@@ -63,8 +63,8 @@
 }
 
 // Guards against connections of peers that are closed in favour of new ones, and
-// against strangers that are not.
-func TestOnlyStrangersAreClosedForOthers(t *testing.T) {
+// against clients without the fleet token that are not.
+func TestOnlyUnauthenticatedClientsAreClosedForOthers(t *testing.T) {
 	peers := make(chan net.Conn, 2)
 	server, address := startServerWith(t, control.ServerOptions{Token: "secret", OnPeer: func(c net.Conn) { peers <- c }})
 	client := newClient(t, "secret")
@@ -76,7 +76,7 @@
 	if len(peers) != 1 {
 		t.Errorf("%d connections of peers for 3 calls, want 1", len(peers))
 	}
-	if server.CloseStranger(0) {
+	if server.CloseUnauthenticated(0) {
 		t.Error("the connection of a peer was closed")
 	}
 	conn, err := net.Dial("tcp", address)
@@ -84,7 +84,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = conn.Close() }()
-	for deadline := time.Now().Add(5 * time.Second); !server.CloseStranger(0); time.Sleep(time.Millisecond) {
+	for deadline := time.Now().Add(5 * time.Second); !server.CloseUnauthenticated(0); time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatal("a connection without a call was not closed")
 		}
--- a/process/control/server.go
+++ b/process/control/server.go
@@ -99,8 +99,8 @@
 	mux     *drpcmux.Mux
 	server  *drpcserver.Server
 
-	mu        sync.Mutex
-	strangers list.List // connections without the fleet token, the oldest first
+	mu              sync.Mutex
+	unauthenticated list.List // connections without the fleet token, the oldest first
 }
 
 // NewServer returns a server. It fails without a token.
@@ -177,10 +177,10 @@
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
 	guarded := newGuardedConn(conn, time.Now().Add(s.options.HandshakeTimeout))
 	counted := &countedConn{Conn: guarded, guarded: guarded}
-	stranger := s.addStranger(guarded)
-	defer s.removeStranger(stranger)
+	element := s.addUnauthenticated(guarded)
+	defer s.removeUnauthenticated(element)
 	guarded.onAccept = func() {
-		s.removeStranger(stranger)
+		s.removeUnauthenticated(element)
 		s.options.OnPeer(conn)
 	}
 	err := s.server.ServeOne(context.WithValue(ctx, connKey{}, counted), counted)
--- a/process/node/listen.go
+++ b/process/node/listen.go
@@ -110,7 +110,7 @@
 		c := &limitedConn{Conn: conn, release: func() { <-l.slots }, headerSince: time.Now(), memory: l.memory, writeTimeout: l.writeTimeout, control: l.control}
 		c.holder.Value = c
 		if l.control {
-			c.charge.head = strangerBytes
+			c.charge.head = unauthenticatedBytes
 		}
 		if l.memory == nil {
 			return c, nil
--- a/process/node/memory.go
+++ b/process/node/memory.go
@@ -23,9 +23,9 @@
 	// connectionBytes is the stack, the read and write buffers of 4 KiB each, and the
 	// state of an HTTP server for one connection.
 	connectionBytes = 20 << 10
-	// strangerBytes is what a connection to peer_control holds beside connectionBytes
-	// before the fleet token was shown. TestStrangerHoldsLittle measures the sum.
-	strangerBytes = 12 << 10
+	// unauthenticatedBytes is what a connection to peer_control holds beside connectionBytes
+	// before the fleet token was shown. TestUnauthenticatedClientHoldsLittle measures the sum.
+	unauthenticatedBytes = 12 << 10
 	// lineBytes is what a header line costs once parsed, beside its bytes, in the
 	// request and in its copy for the next hop.
 	lineBytes = 256
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -125,7 +125,7 @@
 	}
 	node.control = server
 	node.listeners.peerControl.closeWaiting = func() {
-		if server.CloseStranger(headerWait) {
+		if server.CloseUnauthenticated(headerWait) {
 			node.memory.replaced.Add(1)
 		}
 	}
