connection/quota: nodes that have just started give out the part of the nodes that they met

All 70 nodes restart at 13 s, their views differ, and many owners each see a part of the demand below the limit. The table of nodes tells how large the fleet is in the first window after a start.

--- a/process/node/seeds.go
+++ b/process/node/seeds.go
@@ -93,13 +93,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	clear(f.seeds)
-	invalid := 0
+	invalid, known := 0, 1
 	for _, i := range newRand().Perm(len(entries)) {
 		e := entries[i]
 		switch {
-		case len(e.Value) == 0 || e.Key == f.node.options.Settings.Node || len(f.seeds) >= maxSeeds:
+		case len(e.Value) == 0 || e.Key == f.node.options.Settings.Node:
 		case membership.ValidAddress(string(e.Value)):
-			f.seeds[string(e.Value)] = true
+			known++
+			if len(f.seeds) < maxSeeds {
+				f.seeds[string(e.Value)] = true
+			}
 		default:
 			invalid++
 		}
@@ -108,6 +111,7 @@
 		f.node.log.Warn().Int("entries", invalid).Msg("node: entries of the table of nodes are no addresses and are ignored")
 	}
 	f.seedsRead = true
+	f.node.entry.SetLastKnownNodes(known)
 	seeds := append(slices.Clone(f.node.options.Settings.Seeds), slices.Sorted(maps.Keys(f.seeds))...)
 	f.gossip.WithLock(func(m *membership.Membership) { m.SetSeeds(seeds) })
 }
