--- a/connection/quota/quota.go
+++ b/connection/quota/quota.go
@@ -132,17 +132,6 @@
 	Unknown []string `json:"unknown,omitempty"`
 }
 
-// KnownNodes returns how many nodes the fleet is taken to have: its members or, in the first
-// window after the start of a process, the nodes of the last known fleet if these are more.
-// When all nodes restart at the same time, their views differ at first, and the reports of an
-// account go to many owners. Each of them gives out the part of the nodes that it has met.
-func KnownNodes(members, lastKnown int, age, window time.Duration) int {
-	if age >= window {
-		return members
-	}
-	return max(members, lastKnown)
-}
-
 // Owner picks the node that counts an account by a rendezvous hash. It returns "" if
 // there are no nodes.
 func Owner(account string, nodes []string) string {
--- a/process/entry/account_quota.go
+++ b/process/entry/account_quota.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/hyssopsill/hyssopsill/connection/quota"
@@ -21,11 +20,8 @@
 type accountQuota struct {
 	entry *Entry
 
-	lastKnown atomic.Int64 // nodes in the table of nodes
-
-	meterMu   sync.Mutex
-	meter     *quota.Meter // nil until Start
-	startedAt time.Time    // of the meter
+	meterMu sync.Mutex
+	meter   *quota.Meter // nil until Start
 
 	ledgerMu sync.Mutex
 	ledger   *quota.Ledger
@@ -66,13 +62,8 @@
 	q.meterMu.Lock()
 	defer q.meterMu.Unlock()
 	q.meter = quota.NewMeter(quota.MeterOptions{Node: q.entry.options.Node, Incarnation: incarnation, Bounds: q.entry.options.AccountBounds})
-	q.startedAt = q.entry.now()
 }
 
-// SetLastKnownNodes sets the number of nodes in the table of nodes. A node that has just
-// started has not met all of them yet.
-func (e *Entry) SetLastKnownNodes(n int) { e.accountQuota.lastKnown.Store(int64(n)) }
-
 func accountLimits(c *config.Config) map[string]quota.Limit {
 	out := make(map[string]quota.Limit, len(c.Accounts))
 	for name, a := range c.Accounts {
@@ -155,11 +146,10 @@
 		q.setView(f)
 		q.meter.SetNodes(q.names)
 	}
-	reports, isolated, age := q.meter.Reports(now), q.meter.Isolated(), now.Sub(q.startedAt)
+	reports, isolated := q.meter.Reports(now), q.meter.Isolated()
 	q.meterMu.Unlock()
 	q.ledgerMu.Lock()
 	responding, known := countNodes(f)
-	known = quota.KnownNodes(known, int(q.lastKnown.Load()), age, q.entry.options.AccountBounds.Window)
 	q.ledger.SetReachable(now, responding, known, isolated)
 	pushes := q.ledger.Push(now, q.names)
 	changes := q.takeChanges(now)
--- a/process/node/seeds.go
+++ b/process/node/seeds.go
@@ -93,16 +93,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	clear(f.seeds)
-	invalid, known := 0, 1
+	invalid := 0
 	for _, i := range newRand().Perm(len(entries)) {
 		e := entries[i]
 		switch {
-		case len(e.Value) == 0 || e.Key == f.node.options.Settings.Node:
+		case len(e.Value) == 0 || e.Key == f.node.options.Settings.Node || len(f.seeds) >= maxSeeds:
 		case membership.ValidAddress(string(e.Value)):
-			known++
-			if len(f.seeds) < maxSeeds {
-				f.seeds[string(e.Value)] = true
-			}
+			f.seeds[string(e.Value)] = true
 		default:
 			invalid++
 		}
@@ -111,7 +108,6 @@
 		f.node.log.Warn().Int("entries", invalid).Msg("node: entries of the table of nodes are no addresses and are ignored")
 	}
 	f.seedsRead = true
-	f.node.entry.SetLastKnownNodes(known)
 	seeds := append(slices.Clone(f.node.options.Settings.Seeds), slices.Sorted(maps.Keys(f.seeds))...)
 	f.gossip.WithLock(func(m *membership.Membership) { m.SetSeeds(seeds) })
 }
