--- a/process/node/drain.go
+++ b/process/node/drain.go
@@ -19,25 +19,26 @@
 }
 
 // Drain starts a drain, which stops new work, waits for the running requests and
-// ends Serve. It returns at once; a further call has no effect.
+// ends Serve. When it returns, entry and gate know of the drain; a further call has no
+// effect.
 func (n *Node) Drain() {
 	if n.draining.Swap(true) {
 		return
 	}
-	go n.drain()
-}
-
-// Draining reports whether the node drains.
-func (n *Node) Draining() bool { return n.draining.Load() }
-
-func (n *Node) drain() {
-	defer func() { n.stop(n.endCause()) }()
 	startedAt := n.now()
 	n.record(record.Record{At: startedAt, Node: n.options.Settings.Node, Kind: record.KindDrain,
 		Change: &record.Change{Subject: n.options.Settings.Node, To: "leaving", Why: fmt.Sprintf("drain requested with %d requests at the gate and %d at the entry", n.gate.Running(), n.entry.Active())}})
 	n.entry.Drain()
 	n.drainStartedAt = startedAt
 	n.setDrainTimes(startedAt)
+	go n.drain(startedAt)
+}
+
+// Draining reports whether the node drains.
+func (n *Node) Draining() bool { return n.draining.Load() }
+
+func (n *Node) drain(startedAt time.Time) {
+	defer func() { n.stop(n.endCause()) }()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	handoverEnded := n.startHandover(ctx)
