connection/quota: share the code of hedges and probes in the meter

Both send the same report to a node other than the owner. The rule for which verdict replaces another is a function of its own, and a node that did not respond is called silent until it is unreachable.

--- a/connection/quota/meter.go
+++ b/connection/quota/meter.go
@@ -23,16 +23,16 @@
 
 // Meter admits the requests of accounts at one entry. It is not safe for concurrent use.
 type Meter struct {
-	options     MeterOptions
-	accounts    map[string]*meteredAccount
-	changed     []*meteredAccount // may have counts that no owner has acknowledged
-	nodes       []node
-	generation  uint64 // of nodes and unreachable; owners of accounts are chosen again after a change
-	unreachable map[string]peerState
-	movedAt     uint64 // generation for which listMoved was done
-	total       int64  // requests seen; new accounts begin to count here
-	startedAt   time.Time
-	nextSweep   time.Time
+	options    MeterOptions
+	accounts   map[string]*meteredAccount
+	changed    []*meteredAccount // may have counts that no owner has acknowledged
+	nodes      []node
+	generation uint64               // of nodes, unreachable nodes and isolation; owners are chosen again after a change
+	silent     map[string]peerState // nodes whose last response is missing
+	movedAt    uint64               // generation for which listMoved was done
+	total      int64                // requests seen; new accounts begin to count here
+	startedAt  time.Time
+	nextSweep  time.Time
 	// isolated is set until another node responds again. This node counts its own accounts
 	// until isolatedUntil, and then tries the others once more.
 	isolated      bool
@@ -45,17 +45,16 @@
 	hash uint64
 }
 
-// peerState is what a Meter knows of an owner that did not respond.
+// peerState is what a Meter knows of a node that did not respond.
 type peerState struct {
 	failures int
-	until    time.Time // the time until which reports go to another node
+	until    time.Time // while set, the node is unreachable: reports go to another one
 	probedAt time.Time
 }
 
 type meteredAccount struct {
 	name       string
 	hash       uint64
-	phase      float64 // initial credit
 	limit      Limit
 	bucket     bucket
 	credit     float64
@@ -96,7 +95,7 @@
 
 // NewMeter returns a Meter that knows no nodes.
 func NewMeter(o MeterOptions) *Meter {
-	return &Meter{options: o, accounts: map[string]*meteredAccount{}, unreachable: map[string]peerState{}, generation: 1}
+	return &Meter{options: o, accounts: map[string]*meteredAccount{}, silent: map[string]peerState{}, generation: 1}
 }
 
 // SetNodes replaces the nodes that may be owners.
@@ -108,7 +107,7 @@
 	for _, name := range names {
 		m.nodes = append(m.nodes, node{name, xxhash.Sum64String(name)})
 	}
-	maps.DeleteFunc(m.unreachable, func(name string, _ peerState) bool { return !slices.Contains(names, name) })
+	maps.DeleteFunc(m.silent, func(name string, _ peerState) bool { return !slices.Contains(names, name) })
 	m.generation++
 }
 
@@ -167,9 +166,8 @@
 		if !m.options.noPhase {
 			// The credits of the entries begin at different values: with 108 entries of
 			// which each sees a request in 11 s, a credit of 0 everywhere admits none.
-			a.phase = float64(weight(hash, xxhash.Sum64String(m.options.Node))>>11) / (1 << 53)
+			a.credit = float64(weight(hash, xxhash.Sum64String(m.options.Node))>>11) / (1 << 53)
 		}
-		a.credit = a.phase
 		m.accounts[name] = a
 	}
 	a.limit = limit
@@ -211,7 +209,7 @@
 		m.nextSweep = now.Add(sweepInterval)
 		maps.DeleteFunc(m.accounts, func(_ string, a *meteredAccount) bool { return !a.listed && now.Sub(a.usedAt) > idleAccount })
 	}
-	var out map[string]Report
+	out := map[string]Report{}
 	m.listMoved(now)
 	kept := m.changed[:0]
 	for _, a := range m.changed {
@@ -220,8 +218,10 @@
 			continue
 		}
 		kept = append(kept, a)
-		m.hedge(now, a, &out)
-		m.probe(now, a, &out)
+		if m.isolatedUntil.IsZero() && !m.options.noFailover {
+			m.hedge(now, a, out)
+			m.probe(now, a, out)
+		}
 		if a.counts == a.sent && now.Sub(a.sentAt) < CallTimeout {
 			continue
 		}
@@ -229,7 +229,7 @@
 		if a.owner == "" {
 			continue
 		}
-		if m.addReport(now, &out, a.owner, m.accountReport(now, a)) {
+		if m.addReport(now, out, a.owner, m.accountReport(now, a)) {
 			a.sent, a.sentAt = a.counts, now
 			if a.waitingSince.IsZero() {
 				a.waitingSince = now
@@ -243,14 +243,11 @@
 
 // addReport adds the report of an account to the message for a node. It returns false if
 // the message is full; the account then waits for the next one.
-func (m *Meter) addReport(now time.Time, out *map[string]Report, node string, reported AccountReport) bool {
-	r, ok := (*out)[node]
+func (m *Meter) addReport(now time.Time, out map[string]Report, node string, reported AccountReport) bool {
+	r, ok := out[node]
 	if len(r.Accounts) >= maxReportAccounts || (len(reported.Recent) > 0 && len(r.Accounts) >= maxHistoryAccounts) {
 		return false
 	}
-	if *out == nil {
-		*out = map[string]Report{}
-	}
 	if !ok {
 		r = Report{Entry: m.options.Node, Incarnation: m.options.Incarnation}
 		if age := now.Sub(m.startedAt); age < m.options.Bounds.Window {
@@ -258,25 +255,19 @@
 		}
 	}
 	r.Accounts = append(r.Accounts, reported)
-	(*out)[node] = r
+	out[node] = r
 	return true
 }
 
 // hedge reports an account whose owner is silent to the next owner as well. If the owner
 // does not respond to all entries, the next one sees the whole demand and has a verdict
 // before the entries change to it; otherwise it sees a small part and gives none.
-func (m *Meter) hedge(now time.Time, a *meteredAccount, out *map[string]Report) {
-	if a.waitingSince.IsZero() || now.Sub(a.waitingSince) < hedgeDelay || now.Sub(a.hedgedAt) < ReportInterval ||
-		m.options.noHedge || m.options.noFailover || !m.isolatedUntil.IsZero() {
-		return
-	}
-	next := m.pick(a, func(n node) bool { return n.name != a.owner && m.unreachable[n.name].until.IsZero() })
-	if next == "" {
+func (m *Meter) hedge(now time.Time, a *meteredAccount, out map[string]Report) {
+	if m.options.noHedge || a.waitingSince.IsZero() || now.Sub(a.waitingSince) < hedgeDelay || now.Sub(a.hedgedAt) < ReportInterval {
 		return
 	}
-	r := m.accountReport(now, a)
-	r.Made, r.Recent, r.Hedge = 0, a.recent.recent(stepOf(now, m.options.Bounds.Window)), true
-	if m.addReport(now, out, next, r) {
+	next := m.pick(a, func(n node) bool { return n.name != a.owner && m.reachable(n) })
+	if next != "" && m.addReport(now, out, next, m.hedgedReport(now, a)) {
 		a.hedgedAt = now
 	}
 }
@@ -284,22 +275,31 @@
 // probe reports an account also to its first node in the hash order while that node is
 // unreachable. A response ends that state: after a restart of an owner, entries that
 // waited for unreachableTime and the entry of the owner itself reported to different nodes.
-func (m *Meter) probe(now time.Time, a *meteredAccount, out *map[string]Report) {
-	if m.countUnreachable() == 0 || m.options.noProbe || m.options.noFailover || !m.isolatedUntil.IsZero() {
+func (m *Meter) probe(now time.Time, a *meteredAccount, out map[string]Report) {
+	if m.options.noProbe || m.countUnreachable() == 0 {
 		return
 	}
-	first := m.pick(a, func(node) bool { return true })
-	p := m.unreachable[first]
+	first := m.pick(a, anyNode)
+	p := m.silent[first]
 	if p.until.IsZero() || now.Sub(p.probedAt) < CallTimeout {
 		return
 	}
 	p.probedAt = now
-	m.unreachable[first] = p
+	m.silent[first] = p
+	m.addReport(now, out, first, m.hedgedReport(now, a))
+}
+
+// hedgedReport is the report of an account to a node other than its owner.
+func (m *Meter) hedgedReport(now time.Time, a *meteredAccount) AccountReport {
 	r := m.accountReport(now, a)
 	r.Made, r.Recent, r.Hedge = 0, a.recent.recent(stepOf(now, m.options.Bounds.Window)), true
-	m.addReport(now, out, first, r)
+	return r
 }
 
+func anyNode(node) bool { return true }
+
+func (m *Meter) reachable(n node) bool { return m.silent[n.name].until.IsZero() }
+
 // pick returns the first node in the hash order of an account for which allowed is true.
 func (m *Meter) pick(a *meteredAccount, allowed func(node) bool) string {
 	best, highest := "", uint64(0)
@@ -352,37 +352,41 @@
 		a.owner = m.options.Node
 		return
 	}
-	if a.owner = m.pick(a, func(n node) bool { return m.unreachable[n.name].until.IsZero() }); a.owner == "" {
-		a.owner = m.pick(a, func(node) bool { return true })
+	if a.owner = m.pick(a, m.reachable); a.owner == "" {
+		a.owner = m.pick(a, anyNode)
 	}
 }
 
 // expireUnreachable lets reports go to a node again that did not respond. The first
 // failure makes it unreachable once more.
 func (m *Meter) expireUnreachable(now time.Time) {
-	if !m.isolatedUntil.IsZero() && now.After(m.isolatedUntil) {
-		m.isolatedUntil = time.Time{}
-		m.generation++
+	if now.After(m.isolatedUntil) {
+		m.endIsolation()
 	}
-	for name, p := range m.unreachable {
+	for name, p := range m.silent {
 		if !p.until.IsZero() && now.After(p.until) {
-			m.unreachable[name] = peerState{failures: failuresBeforeFailover - 1}
+			m.silent[name] = peerState{failures: failuresBeforeFailover - 1}
 			m.generation++
 		}
 	}
 }
 
+// endIsolation lets reports go to other nodes again.
+func (m *Meter) endIsolation() {
+	if !m.isolatedUntil.IsZero() {
+		m.isolatedUntil = time.Time{}
+		m.generation++
+	}
+}
+
 // Acknowledge applies the response to a report.
 func (m *Meter) Acknowledge(now time.Time, owner string, r Report, v Verdicts) {
 	if owner != m.options.Node {
 		m.lastResponse, m.isolated = now, false
-		if !m.isolatedUntil.IsZero() {
-			m.isolatedUntil = time.Time{}
-			m.generation++
-		}
+		m.endIsolation()
 	}
-	if p, ok := m.unreachable[owner]; ok {
-		delete(m.unreachable, owner)
+	if p, ok := m.silent[owner]; ok {
+		delete(m.silent, owner)
 		if !p.until.IsZero() {
 			m.generation++
 		}
@@ -403,30 +407,34 @@
 
 // ReportFailed notes that an owner did not respond to a report.
 func (m *Meter) ReportFailed(now time.Time, owner string) {
-	p := m.unreachable[owner]
+	p := m.silent[owner]
 	p.failures++
-	if p.until.IsZero() && p.failures >= m.failuresBeforeFailover(now) && !m.options.noFailover {
+	if p.until.IsZero() && p.failures >= m.requiredFailures(now) && !m.options.noFailover {
 		p.until = now.Add(unreachableTime)
 		m.generation++
 	}
-	m.unreachable[owner] = p
-	if m.countUnreachable() >= unreachableBeforeIsolated && now.Sub(m.lastResponse) > 2*CallTimeout && !m.options.noIsolation {
+	m.silent[owner] = p
+	if m.countUnreachable() >= unreachableBeforeIsolated && m.noneResponds(now) && !m.options.noIsolation {
 		m.isolated, m.isolatedUntil = true, now.Add(unreachableTime)
 		m.generation++
 	}
 }
 
-// failuresBeforeFailover is 1 once a first owner is unreachable and nobody else has
-// responded: an entry that is cut off must know it before its verdict expires.
-func (m *Meter) failuresBeforeFailover(now time.Time) int {
-	if now.Sub(m.lastResponse) > 2*CallTimeout && m.countUnreachable() > 0 {
+// requiredFailures is the number of failures that make a node unreachable: 1 once a first
+// owner is unreachable and nobody else has responded, as an entry that is cut off must know
+// it before its verdict expires.
+func (m *Meter) requiredFailures(now time.Time) int {
+	if m.noneResponds(now) && m.countUnreachable() > 0 {
 		return 1
 	}
 	return failuresBeforeFailover
 }
 
+// noneResponds reports whether no other node has responded lately.
+func (m *Meter) noneResponds(now time.Time) bool { return now.Sub(m.lastResponse) > 2*CallTimeout }
+
 func (m *Meter) countUnreachable() (n int) {
-	for _, p := range m.unreachable {
+	for _, p := range m.silent {
 		if !p.until.IsZero() {
 			n++
 		}
@@ -438,8 +446,7 @@
 // then that of one node.
 func (m *Meter) Isolated() bool { return m.isolated }
 
-// Apply applies verdicts of an owner. The verdict of a node to which this entry does not
-// report counts only while there is none of the node to which it does.
+// Apply applies verdicts of an owner.
 func (m *Meter) Apply(now time.Time, v Verdicts) {
 	for _, verdict := range v.Verdicts {
 		if !(verdict.Share >= 0 && verdict.Share <= 1) {
@@ -455,15 +462,23 @@
 		if v.Owner == a.verdictBy && verdict.Made < a.verdict.Made {
 			continue
 		}
-		// A slow owner's last verdict may be from the beginning of a rise of the demand.
-		lower := verdict.Hedge && verdict.Share < a.verdict.Share && !m.options.noLowerHedge
-		if v.Owner != a.verdictBy && a.verdictBy != "" && !lower && (a.verdictBy == a.owner || verdict.Hedge && !a.verdict.Hedge) && now.Before(a.expires) {
+		if now.Before(a.expires) && v.Owner != a.verdictBy && !m.replaces(verdict, a) {
 			continue
 		}
 		a.verdict, a.verdictBy, a.expires = verdict, v.Owner, now.Add(VerdictTTL)
 	}
 }
 
+// replaces reports whether a verdict of another node replaces one that still applies. A
+// lower share of a hedge does: a slow owner's last verdict may be from the beginning of a
+// rise of the demand.
+func (m *Meter) replaces(v Verdict, a *meteredAccount) bool {
+	if v.Hedge && v.Share < a.verdict.Share && !m.options.noLowerHedge {
+		return true
+	}
+	return a.verdictBy != a.owner && (!v.Hedge || a.verdict.Hedge)
+}
+
 // AccountStatus describes an account at one entry.
 type AccountStatus struct {
 	Account  string  `json:"account"`
