connection/quota: name the times of a ledger's record by what they mean

createdAt was the time of the last takeover and startedAt that of the record. The record of an entry is now either known or new in one place of charge.

--- a/connection/quota/ledger.go
+++ b/connection/quota/ledger.go
@@ -54,8 +54,8 @@
 	pushedAll  bool // the last push went to all nodes
 	pushDue    bool
 	reportedAt time.Time
-	startedAt  time.Time // of the record
-	createdAt  time.Time // also when the account was taken over again
+	createdAt  time.Time
+	ownedAt    time.Time // since when this node counts the account; after createdAt if it was taken over again
 	// ceiling bounds the share for a time after a takeover.
 	ceiling      float64
 	ceilingUntil time.Time
@@ -109,17 +109,12 @@
 	if l.options.ignoreReachable {
 		return
 	}
-	if isolated && !l.reportedByOthers(now) {
+	if isolated && now.Sub(l.foreignAt) >= takeoverGap {
 		responding = 1
 	}
 	l.reachable = float64(max(1, responding)) / float64(max(1, responding, known))
 }
 
-// reportedByOthers reports whether another node has reported to this one lately.
-func (l *Ledger) reportedByOthers(now time.Time) bool {
-	return !l.foreignAt.IsZero() && now.Sub(l.foreignAt) < takeoverGap
-}
-
 // Report applies a report of an entry and returns the verdicts for it. limits returns
 // the limit of an account, which has none if the rate is 0.
 func (l *Ledger) Report(now time.Time, r Report, limits func(account string) Limit) Verdicts {
@@ -159,11 +154,11 @@
 	name := r.Account
 	a := l.accounts[name]
 	if a == nil {
-		a = &ledgerAccount{name: name, entries: map[string]*reporter{}, share: 1, startedAt: now, createdAt: now}
+		a = &ledgerAccount{name: name, entries: map[string]*reporter{}, share: 1, createdAt: now, ownedAt: now}
 		a.bucket = bucket{level: l.earned(limit, now.Sub(l.startedAt)) * l.reachable, at: now}
 		l.accounts[name] = a
 	} else if now.Sub(a.reportedAt) > takeoverGap {
-		a.createdAt = now
+		a.ownedAt = now
 		if l.options.fullAtTakeover {
 			a.bucket.level = limit.Burst * l.reachable
 		}
@@ -200,8 +195,8 @@
 // entry: the bucket is empty, and the share is not raised until it is known how much of
 // the demand reaches this owner.
 func (l *Ledger) inherit(now time.Time, a *ledgerAccount, r *AccountReport) {
-	share, own := r.Share, r.Made >= a.startedAt.UnixNano()
-	if own || r.Hedge || share == nil || !(*share >= 0 && *share < 1) || now.Sub(a.createdAt) > VerdictTTL || l.options.fullAtTakeover {
+	share, own := r.Share, r.Made >= a.createdAt.UnixNano()
+	if own || r.Hedge || share == nil || !(*share >= 0 && *share < 1) || now.Sub(a.ownedAt) > VerdictTTL || l.options.fullAtTakeover {
 		return
 	}
 	if now.Before(a.ceilingUntil) {
@@ -219,24 +214,22 @@
 	if l.options.ignoreAcked {
 		base = Counts{}
 	}
-	var previous Counts
-	known := e != nil && r.Incarnation.Compare(e.incarnation) == 0
-	if e == nil || r.Incarnation.Compare(e.incarnation) > 0 {
-		told, toldAt := 1.0, time.Time{}
-		if e != nil {
-			told, toldAt = e.told, e.toldAt
+	var previous *Counts
+	if e != nil && r.Incarnation == e.incarnation {
+		previous = new(e.counts)
+		if !l.options.addCounts {
+			base = base.atLeast(*previous)
+		}
+	} else {
+		before := e
+		e = &reporter{incarnation: r.Incarnation, told: 1}
+		if before != nil {
+			e.told, e.toldAt = before.told, before.toldAt
 		}
-		e = &reporter{incarnation: r.Incarnation, told: told, toldAt: toldAt}
 		a.entries[r.Entry] = e
-		if r.Age > 0 && now.Sub(a.startedAt) < l.options.Bounds.Window {
+		if r.Age > 0 && now.Sub(a.createdAt) < l.options.Bounds.Window {
 			a.bucket.level = min(a.bucket.level, l.earned(a.limit, time.Duration(r.Age)*time.Millisecond))
 		}
-	} else {
-		previous = e.counts
-		base = base.atLeast(e.counts)
-	}
-	if l.options.addCounts {
-		base = reported.Acked
 	}
 	e.counts = reported.Counts.atLeast(base)
 	delta := e.counts.minus(base)
@@ -252,37 +245,36 @@
 	a.bucket.refill(now, a.limit.Rate*part, a.limit.Burst*part)
 	a.recent.advance(stepOf(now, l.options.Bounds.Window))
 	if len(reported.Recent) > 0 && !l.options.noHistory && !l.options.fullAtTakeover {
-		l.replay(now, a, reported, known, previous)
+		l.replay(now, a, reported, previous)
 	} else {
-		a.recent.steps[a.recent.newest%historySteps] += int32(delta.Admitted - delta.Returned)
-		a.bucket.level -= float64(delta.Admitted - delta.Returned)
+		a.recent.steps[a.recent.newest%historySteps] += int32(delta.net())
+		a.bucket.level -= float64(delta.net())
 	}
 	a.demand.add(now, requests, demandTime(a.limit))
 	e.demand.add(now, requests, entryDemandFactor*demandTime(a.limit))
 	return e
 }
 
-// replay charges the history of an entry whose last report went to another owner. Of an
-// entry with a record, only the requests after the record are new. The level of a new owner
+// replay charges the history of an entry whose last report went to another owner. If this
+// owner has a record of the entry, only the requests after its previous counts are new. The level of a new owner
 // is that of a bucket that was full one window ago. The whole limit applied in the past,
 // whatever part of it this owner gives out now.
-func (l *Ledger) replay(now time.Time, a *ledgerAccount, r *AccountReport, known bool, previous Counts) {
+func (l *Ledger) replay(now time.Time, a *ledgerAccount, r *AccountReport, previous *Counts) {
 	window := l.options.Bounds.Window
 	left, before := int64(math.MaxInt64), a.recent.level(a.limit, window)
-	if known {
-		n := r.Counts.minus(previous)
-		left = n.Admitted - n.Returned
+	if previous != nil {
+		left = r.Counts.minus(*previous).net()
 	}
 	for age, n := range r.Recent[:min(len(r.Recent), historySteps)] {
-		add := min(int64(n), left)
 		if left <= 0 {
 			break
 		}
+		add := min(int64(n), left)
 		left -= add
 		a.recent.steps[(a.recent.newest-int64(age))%historySteps] += int32(add)
 	}
 	after := a.recent.level(a.limit, window)
-	if now.Sub(a.createdAt) > VerdictTTL {
+	if now.Sub(a.ownedAt) > VerdictTTL {
 		a.bucket.level -= before - after
 	} else {
 		a.bucket.level = min(a.bucket.level, after)
@@ -366,7 +358,7 @@
 func (l *Ledger) Push(now time.Time, nodes []string) map[string]Verdicts {
 	l.start(now)
 	l.sweep(now)
-	var out map[string]Verdicts
+	out := map[string]Verdicts{}
 	for _, name := range slices.Sorted(maps.Keys(l.throttled)) {
 		a := l.throttled[name]
 		l.update(now, a)
@@ -383,9 +375,6 @@
 		}
 		all := (a.bucket.level < 0 || a.pushedAll) && !l.options.reportersOnly
 		for _, entry := range l.recipients(now, a, nodes, all) {
-			if out == nil {
-				out = map[string]Verdicts{}
-			}
 			v := out[entry]
 			v.Owner = l.options.Node
 			v.Verdicts = append(v.Verdicts, a.verdict(now))
--- a/connection/quota/quota.go
+++ b/connection/quota/quota.go
@@ -80,6 +80,9 @@
 	return Counts{c.Admitted - o.Admitted, c.Refused - o.Refused, c.Returned - o.Returned}
 }
 
+// net returns the number of requests that ran or still run.
+func (c Counts) net() int64 { return c.Admitted - c.Returned }
+
 func (c Counts) atLeast(o Counts) Counts {
 	return Counts{max(c.Admitted, o.Admitted), max(c.Refused, o.Refused), max(c.Returned, o.Returned)}
 }
@@ -108,7 +111,8 @@
 	Recent []int32 `json:"h,omitempty"`
 	// Hedge marks a report to the next node in the hash order while the owner is silent.
 	Hedge bool `json:"b,omitempty"`
-	// Made is that of the verdict if the same node made it, which may have restarted since.
+	// Made is that of the verdict behind Share if the recipient made it. The recipient may
+	// have restarted since.
 	Made int64 `json:"m,omitempty"`
 }
 
