process/entry: the limit of an account has one source

The check of a request combined the limit in request/account with the lowered limits of a possibly newer version. It now asks routing.limit, as the owner does, and request/account holds no limits.

--- a/process/entry/account.go
+++ b/process/entry/account.go
@@ -14,7 +14,7 @@
 func accountTable(c *config.Config) *account.Table {
 	accounts := make([]account.Account, 0, len(c.Accounts))
 	for name, a := range c.Accounts {
-		accounts = append(accounts, account.Account{Name: name, Keys: a.Keys, Rank: a.Rank, Rate: a.Rate, Burst: a.Burst})
+		accounts = append(accounts, account.Account{Name: name, Keys: a.Keys, Rank: a.Rank})
 	}
 	return account.NewTable(accounts)
 }
--- a/process/entry/account_quota.go
+++ b/process/entry/account_quota.go
@@ -79,7 +79,7 @@
 		return true
 	}
 	now := q.entry.now()
-	limit := quota.Effective(now, q.entry.routing.Load().held[q.account.Name], quota.Limit{Rate: q.account.Rate, Burst: q.account.Burst})
+	limit := q.routing.limit(now, q.account.Name)
 	if limit.Rate <= 0 {
 		return true
 	}
@@ -211,11 +211,12 @@
 	}
 }
 
-// setView keeps the nodes that may be owners: those that membership takes for responding.
+// setView keeps the nodes that may be owners: those that respond and are not leaving, and
+// this one.
 func (q *accountQuota) setView(f *fleet) {
 	q.view, q.names, q.members = f, nil, map[string]string{}
 	for _, m := range f.view.Members {
-		if (responds(m.State) && m.State != membership.NodeLeaving) || m.Node == q.entry.options.Node {
+		if m.State == membership.NodeAlive || m.State == membership.NodePaused || m.Node == q.entry.options.Node {
 			q.names = append(q.names, m.Node)
 			q.members[m.Node] = m.DataAddress
 		}
--- a/request/account/account.go
+++ b/request/account/account.go
@@ -11,11 +11,9 @@
 
 // Account is a client account.
 type Account struct {
-	Name  string
-	Keys  []string
-	Rank  *int    // 0 is the most urgent; nil: none
-	Rate  float64 // requests/s over all nodes together; 0: no limit
-	Burst float64 // requests beyond the rate
+	Name string
+	Keys []string
+	Rank *int // 0 is the most urgent; nil: none
 }
 
 // Table holds the accounts of one version of the configuration. It is immutable and safe
