--- a/cmd/hyssopsill/accounts.go
+++ b/cmd/hyssopsill/accounts.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 
 	"github.com/urfave/cli/v3"
 
 	"github.com/hyssopsill/hyssopsill/connection/quota"
+	"github.com/hyssopsill/hyssopsill/process/entry"
 	"github.com/hyssopsill/hyssopsill/process/telemetry"
 )
 
@@ -23,9 +25,8 @@
 
 // accountsView holds the accounts at one node.
 type accountsView struct {
-	Node  string                `json:"node"`
-	Entry []quota.AccountStatus `json:"entry"` // requests at this entry
-	Owner []quota.OwnedStatus   `json:"owner"` // accounts that this node counts
+	Node string `json:"node"`
+	entry.AccountsStatus
 }
 
 func (a *app) accounts(ctx context.Context, c *cli.Command) error {
@@ -44,25 +45,17 @@
 		return (c.String("account") == "" || account == c.String("account")) && (share < 1 || !c.Bool("limited"))
 	}
 	statuses := fetchAll[telemetry.Status](ctx, nodes, "/v1/status")
-	for i, response := range fetchAll[accountsView](ctx, nodes, "/v1/accounts") {
+	for i, response := range fetchAll[entry.AccountsStatus](ctx, nodes, "/v1/accounts") {
 		if response.Err != nil {
 			out.Errors[response.URL] = response.Err.Error()
 			continue
 		}
-		view := accountsView{Node: response.URL, Entry: []quota.AccountStatus{}, Owner: []quota.OwnedStatus{}}
+		view := accountsView{response.URL, response.Value}
 		if statuses[i].Err == nil {
 			view.Node = statuses[i].Value.Node
 		}
-		for _, s := range response.Value.Entry {
-			if wanted(s.Account, s.Share) {
-				view.Entry = append(view.Entry, s)
-			}
-		}
-		for _, s := range response.Value.Owner {
-			if wanted(s.Account, s.Share) {
-				view.Owner = append(view.Owner, s)
-			}
-		}
+		view.Entry = slices.DeleteFunc(view.Entry, func(s quota.AccountStatus) bool { return !wanted(s.Account, s.Share) })
+		view.Owner = slices.DeleteFunc(view.Owner, func(s quota.OwnedStatus) bool { return !wanted(s.Account, s.Share) })
 		out.Views = append(out.Views, view)
 	}
 	if err := a.print(c, out, func(w io.Writer) { writeAccountTables(w, out.Views) }); err != nil {
