--- a/version/config/change.go
+++ b/version/config/change.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"regexp"
 	"strings"
 
 	"github.com/hyssopsill/hyssopsill/finding"
@@ -106,14 +107,11 @@
 	if path == ObjectCustomers {
 		return true
 	}
-	for _, prefix := range []string{prefixServices, prefixRoutes} {
+	for prefix, pattern := range map[string]*regexp.Regexp{prefixServices: namePattern, prefixRoutes: namePattern, prefixAccounts: accountPattern} {
 		if name, ok := strings.CutPrefix(path, prefix); ok {
-			return namePattern.MatchString(name)
+			return pattern.MatchString(name)
 		}
 	}
-	if name, ok := strings.CutPrefix(path, prefixAccounts); ok {
-		return accountPattern.MatchString(name)
-	}
 	return false
 }
 
--- a/version/config/encode.go
+++ b/version/config/encode.go
@@ -32,11 +32,11 @@
 func (c *Config) Objects() (map[string]string, error) {
 	out := map[string]string{}
 	put := func(path string, value any) error {
-		text, err := toml.Marshal(value)
+		text, err := marshalObject(value)
 		if err != nil {
 			return fmt.Errorf("encode %s: %w", path, err)
 		}
-		out[path] = string(text)
+		out[path] = text
 		return nil
 	}
 	if c.CustomerHeader != "" && c.CustomerHeader != DefaultCustomerHeader {
@@ -59,17 +59,21 @@
 			return nil, err
 		}
 	}
-	for path, value := range out {
-		if value == "" { // an empty value would delete the object
-			out[path] = emptyObject
-		}
-	}
 	return out, nil
 }
 
-// emptyObject is the TOML of an object without keys, such as an account that has none.
+// emptyObject is the TOML of an object without keys, such as an account that has none. An
+// empty value would delete the object.
 const emptyObject = "# empty\n"
 
+func marshalObject(value any) (string, error) {
+	text, err := toml.Marshal(value)
+	if err == nil && len(text) == 0 {
+		return emptyObject, nil
+	}
+	return string(text), err
+}
+
 // Difference is one object that differs between two configurations. From or To
 // is empty when the object does not exist there.
 type Difference struct {
@@ -132,12 +136,9 @@
 		sum := sha256.Sum256([]byte(key))
 		a.Keys[i] = "sha256:" + hex.EncodeToString(sum[:4])
 	}
-	text, err := toml.Marshal(a)
+	text, err := marshalObject(a)
 	if err != nil {
 		return "# not readable\n"
 	}
-	if len(text) == 0 {
-		return emptyObject
-	}
-	return string(text)
+	return text
 }
