--- a/connection/quota/quota_test.go
+++ b/connection/quota/quota_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/hyssopsill/hyssopsill/request/attempt"
 )
 
 // hotFactor is the demand of a hot account over its limit: 7.5 times the usual demand,
@@ -16,6 +18,16 @@
 	return func(time.Duration) float64 { return rate }
 }
 
+// rise is the usual demand, and hot demand from a time on.
+func rise(l Limit, at time.Duration) func(time.Duration) float64 {
+	return func(t time.Duration) float64 {
+		if t < at {
+			return l.Rate / 1.6
+		}
+		return l.Rate * hotFactor
+	}
+}
+
 // surges is the usual demand with 7 s of hot demand each 20 s.
 func surges(l Limit) func(time.Duration) float64 {
 	return func(t time.Duration) float64 {
@@ -26,12 +38,29 @@
 	}
 }
 
+// with returns the options with a demand and delays of up to 4 ms.
+func (o simOptions) with(seed uint64, demand func(time.Duration) float64) simOptions {
+	o.seed, o.demand, o.maxDelay = seed, demand, 4*time.Millisecond
+	return o
+}
+
+// checkWindows fails the test if more requests than the bound ran in a window.
+func checkWindows(t *testing.T, what string, most int, bound float64) {
+	t.Helper()
+	t.Logf("%s: at most %d in a window, bound %.1f (%.2f)", what, most, bound, float64(most)/bound)
+	if float64(most) > bound {
+		t.Errorf("%s: %d requests ran in a window, bound %.1f", what, most, bound)
+	}
+}
+
 var accounts = map[string]simOptions{
 	"2 per s at 108 entries":   {nodes: 108, entries: 108, limit: Limit{2, 2}},
 	"104 per s at 108 entries": {nodes: 108, entries: 108, limit: Limit{104, 104}},
 	"400 per s at 3 entries":   {nodes: 108, entries: 3, limit: Limit{400, 400}},
 }
 
+var seventy = simOptions{nodes: 70, entries: 70, limit: Limit{50, 50}}
+
 // faults are applied to a fleet whose account is hot all the time, or in surges.
 var faults = map[string]func(*sim){
 	"none":          func(s *sim) { s.runUntil(40 * time.Second) },
@@ -97,17 +126,12 @@
 					t.Parallel()
 					bound, most, messages := testBounds.InWindow(account.limit), 0, 0.0
 					for seed := range uint64(2) {
-						o := account
-						o.seed, o.demand, o.maxDelay = seed+1, demand, 4*time.Millisecond
-						s := newSim(o)
+						s := newSim(account.with(seed+1, demand))
 						fault(s)
 						most = max(most, s.maxInWindow(0))
 						messages = float64(s.messages) / s.now.Seconds()
 					}
-					t.Logf("at most %d in a window, bound %.1f (%.2f), %.0f messages/s %s", most, bound, float64(most)/bound, messages, t.Name())
-					if float64(most) > bound {
-						t.Errorf("%d requests ran in a window, bound %.1f", most, bound)
-					}
+					checkWindows(t, fmt.Sprintf("%s, %.0f messages/s", t.Name(), messages), most, bound)
 				})
 			}
 		}
@@ -124,9 +148,7 @@
 				t.Parallel()
 				refused, requests := 0, 0
 				for seed := range uint64(2) {
-					o := account
-					o.seed, o.demand, o.maxDelay = seed+1, steady(account.limit.Rate/1.6), 4*time.Millisecond
-					s := newSim(o)
+					s := newSim(account.with(seed+1, steady(account.limit.Rate/1.6)))
 					faults[faultName](s)
 					refused += len(s.refused)
 					requests += len(s.requests)
@@ -148,11 +170,10 @@
 	single, bursty := large, medium
 	bursty.limit.Burst = 3 * medium.limit.Burst
 	single.entries = 1
-	seventy := simOptions{nodes: 70, entries: 70, limit: Limit{50, 50}}
 	onOwner := large // with an entry at the node that owns the account
 	onOwner.nodes = 12
-	hot := func(o simOptions) simOptions { o.demand = steady(o.limit.Rate * hotFactor); return o }
-	usual := func(o simOptions) simOptions { o.demand = steady(o.limit.Rate / 1.6); return o }
+	hot := func(o simOptions) simOptions { return o.with(1, steady(o.limit.Rate*hotFactor)) }
+	usual := func(o simOptions) simOptions { return o.with(1, steady(o.limit.Rate/1.6)) }
 	cutOffAtStart := func(s *sim) { s.partition(s.nodes[:1], 1); s.runUntil(20 * time.Second) }
 	ownersKilled := func(s *sim) {
 		s.runUntil(10 * time.Second)
@@ -166,16 +187,7 @@
 		}
 	}
 	// The demand rises at 10 s, and owners are killed before they have given a share below 1.
-	rise := func(o simOptions) simOptions {
-		limit := o.limit
-		o.demand = func(t time.Duration) float64 {
-			if t < 10*time.Second {
-				return limit.Rate / 1.6
-			}
-			return limit.Rate * hotFactor
-		}
-		return o
-	}
+	rising := func(o simOptions) simOptions { return o.with(1, rise(o.limit, 10*time.Second)) }
 	killedAfterRise := func(waits ...time.Duration) func(*sim) {
 		return func(s *sim) {
 			s.runUntil(10 * time.Second)
@@ -208,9 +220,8 @@
 	}
 	over := func(s *sim) bool { return float64(s.maxInWindow(0)) > testBounds.InWindow(s.options.limit) }
 	refuses := func(s *sim) bool { return s.refusedShare(0, s.now) > 0.01 }
-	repeated, returned := usual(medium), medium
-	repeated.repeat = 1
-	returned.demand, returned.notRun = steady(1.5*medium.limit.Rate), 0.5
+	repeated, returned := usual(medium), medium.with(1, steady(1.5*medium.limit.Rate))
+	repeated.repeat, returned.notRun = 1, 0.5
 	run := func(s *sim) { s.runUntil(20 * time.Second) }
 	for name, test := range map[string]struct {
 		options simOptions
@@ -226,12 +237,12 @@
 		"reserve":          {usual(small), faults["none"], refuses, func(o *simOptions) { o.ledger.noReserve = true }},
 		"push":             {hot(small), run, over, func(o *simOptions) { o.ledger.noPush = true }},
 		"push to all":      {hot(small), run, over, func(o *simOptions) { o.ledger.reportersOnly = true }},
-		"level at start":   {rise(bursty), allRestarted, over, func(o *simOptions) { o.ledger.fullAtStart = true }},
+		"level at start":   {rising(bursty), allRestarted, over, func(o *simOptions) { o.ledger.fullAtStart = true }},
 		"empty bucket":     {hot(bursty), ownersKilled, over, func(o *simOptions) { o.ledger.fullAtTakeover = true }},
-		"history":          {rise(bursty), killedAfterRise(600 * time.Millisecond), over, func(o *simOptions) { o.ledger.noHistory = true }},
-		"hedge":            {rise(large), killedAfterRise(200 * time.Millisecond), over, func(o *simOptions) { o.meter.noHedge = true }},
-		"probe":            {rise(onOwner), restartedBeforeRise, over, func(o *simOptions) { o.meter.noProbe = true }},
-		"lower hedge":      {rise(seventy), slowAfterRise, over, func(o *simOptions) { o.meter.noLowerHedge = true }},
+		"history":          {rising(bursty), killedAfterRise(600 * time.Millisecond), over, func(o *simOptions) { o.ledger.noHistory = true }},
+		"hedge":            {rising(large), killedAfterRise(200 * time.Millisecond), over, func(o *simOptions) { o.meter.noHedge = true }},
+		"probe":            {rising(onOwner), restartedBeforeRise, over, func(o *simOptions) { o.meter.noProbe = true }},
+		"lower hedge":      {rising(seventy), slowAfterRise, over, func(o *simOptions) { o.meter.noLowerHedge = true }},
 		"reachable nodes":  {hot(medium), faults["third partitioned"], over, func(o *simOptions) { o.ledger.ignoreReachable = true }},
 		"expected demand":  {hot(large), faults["owner's third partitioned"], over, func(o *simOptions) { o.ledger.noHold = true }},
 		"cumulative":       {repeated, run, refuses, func(o *simOptions) { o.ledger.addCounts = true }},
@@ -242,7 +253,6 @@
 			t.Parallel()
 			for _, off := range []bool{false, true} {
 				o := test.options
-				o.seed, o.maxDelay = 1, 4*time.Millisecond
 				if off {
 					test.off(&o)
 				}
@@ -285,9 +295,7 @@
 	for name, account := range accounts {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			o := account
-			o.seed, o.demand, o.maxDelay = 1, steady(account.limit.Rate*hotFactor), 4*time.Millisecond
-			s := newSim(o)
+			s := newSim(account.with(1, steady(account.limit.Rate*hotFactor)))
 			s.runUntil(10 * time.Second)
 			owner := s.owner().name
 			for i := 0; i < len(s.nodes); i += 2 {
@@ -300,14 +308,9 @@
 			}
 			s.lastChange = s.now
 			s.runUntil(40 * time.Second)
-			bound := testBounds.InWindow(o.limit)
-			t.Logf("%s: %d in a window with two owners, %d after, bound %.1f", name, s.maxInWindow(0), s.maxInWindow(21*time.Second), bound)
-			if most := s.maxInWindow(0); float64(most) > 2*bound {
-				t.Errorf("%d requests ran in a window with two owners, bound %.1f", most, 2*bound)
-			}
-			if most := s.maxInWindow(21 * time.Second); float64(most) > bound {
-				t.Errorf("%d requests ran in a window after the views agree, bound %.1f", most, bound)
-			}
+			bound := testBounds.InWindow(account.limit)
+			checkWindows(t, name+", two owners", s.maxInWindow(0), 2*bound)
+			checkWindows(t, name+", after the views agree", s.maxInWindow(21*time.Second), bound)
 		})
 	}
 }
@@ -315,17 +318,12 @@
 // Guards against a lowered limit that binds late: one window after it is in force the
 // bound is that of the new limit.
 func TestLoweredLimit(t *testing.T) {
-	o := accounts["104 per s at 108 entries"]
-	o.seed, o.demand, o.maxDelay = 1, steady(o.limit.Rate*hotFactor), 4*time.Millisecond
-	s := newSim(o)
+	account := accounts["104 per s at 108 entries"]
+	s := newSim(account.with(1, steady(account.limit.Rate*hotFactor)))
 	s.runUntil(10 * time.Second)
 	s.options.limit = Limit{26, 26}
 	s.runUntil(30 * time.Second)
-	bound, most := testBounds.InWindow(s.options.limit), s.maxInWindow(10*time.Second+testBounds.Window)
-	t.Logf("at most %d in a window, bound %.1f", most, bound)
-	if float64(most) > bound {
-		t.Errorf("%d requests ran in a window, bound %.1f", most, bound)
-	}
+	checkWindows(t, "lowered", s.maxInWindow(10*time.Second+testBounds.Window), testBounds.InWindow(s.options.limit))
 }
 
 // Guards against sequences of faults that no listed case has: nodes are killed, restarted
@@ -383,9 +381,7 @@
 func TestLoweredLimitBindsAfterOneWindow(t *testing.T) {
 	high, low, lowest := Limit{104, 104}, Limit{52, 52}, Limit{26, 26}
 	for _, off := range []bool{false, true} {
-		o := accounts["104 per s at 108 entries"]
-		o.seed, o.demand, o.maxDelay = 1, steady(high.Rate/1.6), 4*time.Millisecond
-		s := newSim(o)
+		s := newSim(accounts["104 per s at 108 entries"].with(1, steady(high.Rate/1.6)))
 		s.runUntil(10 * time.Second)
 		held := HoldLowered(s.clock(), testBounds.Window, nil, map[string]Limit{simAccount: high}, map[string]Limit{simAccount: low})
 		s.runUntil(13 * time.Second)
@@ -397,14 +393,12 @@
 			}
 			s.runUntil(s.now + 50*time.Millisecond)
 		}
-		refused, most := s.refusedShare(10*time.Second, 15*time.Second), s.maxInWindow(18*time.Second)
-		t.Logf("off=%v: refused %.3f within one window, then at most %d in a window, bound %.1f", off, refused, most, testBounds.InWindow(lowest))
+		refused := s.refusedShare(10*time.Second, 15*time.Second)
+		t.Logf("off=%v: refused %.3f within one window", off, refused)
 		if fails := refused > 0.01; fails != off {
 			t.Errorf("with the mechanism off: %v; refused %.3f of requests below the earlier limit", off, refused)
 		}
-		if float64(most) > testBounds.InWindow(lowest) {
-			t.Errorf("%d requests ran in a window, bound %.1f", most, testBounds.InWindow(lowest))
-		}
+		checkWindows(t, fmt.Sprintf("off=%v, after the window", off), s.maxInWindow(18*time.Second), testBounds.InWindow(lowest))
 	}
 	none := HoldLowered(time.Unix(0, 0), testBounds.Window, nil, map[string]Limit{"a": {}}, map[string]Limit{"a": low, "new": low})
 	if got := Effective(time.Unix(4, 0), none["a"], low); got.Rate != 0 {
@@ -460,24 +454,36 @@
 				t.Parallel()
 				most, bound := 0, 0.0
 				for seed := range uint64(2) {
-					limit := Limit{50, 50}
-					s := newSim(simOptions{nodes: 70, entries: 70, limit: limit, seed: seed + 1, maxDelay: 4 * time.Millisecond,
-						demand: func(t time.Duration) float64 {
-							if t < 12*time.Second+shift {
-								return limit.Rate / 1.6
-							}
-							return limit.Rate * hotFactor
-						}})
+					s := newSim(seventy.with(seed+1, rise(seventy.limit, 12*time.Second+shift)))
 					s.runUntil(12 * time.Second)
 					fault(s)
 					s.runUntil(30 * time.Second)
 					most, bound = max(most, s.maxInWindow(0)), testBounds.InWindow(s.options.limit)
 				}
-				t.Logf("%s: at most %d in a window, bound %.1f", t.Name(), most, bound)
-				if float64(most) > bound {
-					t.Errorf("%d requests ran in a window, bound %.1f", most, bound)
-				}
+				checkWindows(t, t.Name(), most, bound)
 			})
 		}
 	}
 }
+
+// Guards against an owner that no other node responds to, but to which others report: it
+// gave out the part of one node of 108, so that an account of 5/s which sent 0.5/s got a
+// share of 0. Also guards against an owner without reports that gives out more than its part.
+func TestIsolatedOwnerWithReportsIsNotAlone(t *testing.T) {
+	limit := Limit{Rate: 5, Burst: 5}
+	for _, reporter := range []string{"other", "owner"} {
+		l := NewLedger(LedgerOptions{Node: "owner", Bounds: testBounds})
+		now, share := time.Unix(1000, 0), 1.0
+		for i := range 40 {
+			now = now.Add(ReportInterval * 10)
+			l.SetReachable(now, 100, 108, true)
+			report := Report{Entry: reporter, Incarnation: attempt.Incarnation{StartedMS: 1, Random: 1}, Accounts: []AccountReport{{Account: "a", Counts: Counts{Admitted: int64(i + 1)}}}}
+			for _, v := range l.Report(now, report, func(string) Limit { return limit }).Verdicts {
+				share = v.Share
+			}
+		}
+		if alone := reporter == "owner"; alone != (share < 1) {
+			t.Errorf("reports of %q: share %.2f for a fifth of the limit", reporter, share)
+		}
+	}
+}
--- a/connection/quota/sim_test.go
+++ b/connection/quota/sim_test.go
@@ -171,8 +171,6 @@
 	return alive, reachable / float64(len(s.nodes))
 }
 
-func (s *sim) node(name string) *simNode { return s.byName[name] }
-
 // deliver runs f at a node unless the message is lost, and again if it is repeated.
 func (s *sim) deliver(from, to *simNode, f func()) {
 	s.messages++
@@ -213,11 +211,11 @@
 	n.ledger.SetReachable(s.clock(), int(math.Round(reachable*float64(len(s.nodes)))), len(s.nodes), n.meter.Isolated())
 	reports := n.meter.Reports(s.clock())
 	for _, owner := range slices.Sorted(maps.Keys(reports)) {
-		s.report(n, s.node(owner), reports[owner])
+		s.report(n, s.byName[owner], reports[owner])
 	}
 	pushes := n.ledger.Push(s.clock(), alive)
 	for _, name := range slices.Sorted(maps.Keys(pushes)) {
-		s.push(n, s.node(name), pushes[name])
+		s.push(n, s.byName[name], pushes[name])
 	}
 }
 
@@ -317,7 +315,7 @@
 	for i, n := range s.nodes {
 		names[i] = n.name
 	}
-	return s.node(Owner(simAccount, names))
+	return s.byName[Owner(simAccount, names)]
 }
 
 // maxInWindow returns the most requests that ran in any window that begins at or after a
