--- a/version/config/stage.go
+++ b/version/config/stage.go
@@ -135,17 +135,10 @@
 			continue
 		}
 		for _, matchKey := range o.route.matchKeys() {
-			other, exists := stagedByMatchKey[matchKey]
-			if !exists {
-				other, exists = s.routeByMatchKey[matchKey]
-				_, edited := staged[prefixRoutes+other]
-				exists = exists && !edited
-			}
-			if exists && other != o.route.ID {
+			if other, taken := claim(staged, prefixRoutes, stagedByMatchKey, s.routeByMatchKey, matchKey, o.route.ID); taken {
 				add(path+".path_prefix", "route %q matches the same requests as route %q", o.route.ID, other)
 				break
 			}
-			stagedByMatchKey[matchKey] = o.route.ID
 		}
 	}
 }
@@ -160,17 +153,25 @@
 		}
 		name := strings.TrimPrefix(path, prefixAccounts)
 		for i, key := range o.account.Keys {
-			other, exists := stagedByKey[key]
-			if !exists {
-				other, exists = s.accountByKey[key]
-				_, edited := staged[prefixAccounts+other]
-				exists = exists && !edited
-			}
-			if exists && other != name {
+			if other, taken := claim(staged, prefixAccounts, stagedByKey, s.accountByKey, key, name); taken {
 				addSharedKey(path, i, name, other, add)
-				continue
 			}
-			stagedByKey[key] = name
 		}
 	}
 }
+
+// claim notes in claimed that a staged object has a key that only one object may have. If
+// another staged object or one in force that is not edited has it, claim returns its name.
+func claim(staged map[string]*object, prefix string, claimed, inForce map[string]string, key, name string) (other string, taken bool) {
+	other, taken = claimed[key]
+	if !taken {
+		other, taken = inForce[key]
+		_, edited := staged[prefix+other]
+		taken = taken && !edited
+	}
+	if taken && other != name {
+		return other, true
+	}
+	claimed[key] = name
+	return "", false
+}
