--- a/process/entry/account_quota_test.go
+++ b/process/entry/account_quota_test.go
@@ -17,7 +17,6 @@
 	"github.com/hyssopsill/hyssopsill/request/attempt"
 	"github.com/hyssopsill/hyssopsill/request/invariant"
 	"github.com/hyssopsill/hyssopsill/standin/logservice"
-	"github.com/hyssopsill/hyssopsill/version/config"
 	"github.com/hyssopsill/hyssopsill/version/membership"
 )
 
@@ -35,11 +34,7 @@
 func newQuotaFleet(t *testing.T, n int) []*Entry {
 	t.Helper()
 	var entries []*Entry
-	view := membership.View{}
-	c, findings := config.Parse("test.toml", []byte(accountConfig))
-	if len(findings) > 0 {
-		t.Fatal(findings)
-	}
+	view, c := membership.View{}, parseConfig(t, accountConfig)
 	for i := range n {
 		name, r := fmt.Sprint("n", i), rand.New(rand.NewPCG(uint64(i), 1))
 		incarnation := attempt.NewIncarnation(time.Now(), r)
@@ -67,12 +62,12 @@
 	return entries
 }
 
-func serveAccount(e *Entry, account, path string) int {
-	r := httptest.NewRequest(http.MethodGet, path, nil)
+func serveAccount(e *Entry, account string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodGet, "/kits/a", nil)
 	r.Header.Set(attempt.HeaderAccountKey, account)
 	w := httptest.NewRecorder()
 	e.ServeHTTP(w, r)
-	return w.Code
+	return w
 }
 
 // Guards against entries that each apply the whole limit: the verdict of the owner must
@@ -116,10 +111,10 @@
 	// them to exceed the burst before its next verdict.
 	for range 100 {
 		time.Sleep(20 * time.Millisecond)
-		if code := serveAccount(e, "atelier", "/kits/a"); code == http.StatusTooManyRequests {
+		if w := serveAccount(e, "atelier"); w.Code == http.StatusTooManyRequests {
 			t.Fatal("requests that end as not-run use up the limit")
 		}
-		if code := serveAccount(e, "unlimited", "/kits/a"); code == http.StatusTooManyRequests {
+		if w := serveAccount(e, "unlimited"); w.Code == http.StatusTooManyRequests {
 			t.Fatal("an account without a limit is refused")
 		}
 	}
@@ -131,10 +126,7 @@
 		e.accountQuota.meter.Allow(time.Now(), "atelier", quota.Limit{Rate: 20, Burst: 20})
 	}
 	e.accountQuota.meterMu.Unlock()
-	r := httptest.NewRequest(http.MethodGet, "/kits/a", nil)
-	r.Header.Set(attempt.HeaderAccountKey, "atelier")
-	w := httptest.NewRecorder()
-	e.ServeHTTP(w, r)
+	w := serveAccount(e, "atelier")
 	if w.Code != http.StatusTooManyRequests || w.Header().Get("Retry-After") == "" {
 		t.Errorf("over the limit: status %d, Retry-After %q", w.Code, w.Header().Get("Retry-After"))
 	}
@@ -143,11 +135,7 @@
 // Guards against a new version whose lowered limit binds at once at the entry and the owner.
 func TestVersionLowersAccountLimit(t *testing.T) {
 	e := newQuotaFleet(t, 1)[0]
-	c, findings := config.Parse("test.toml", []byte(strings.Replace(accountConfig, "rate = 20.0", "rate = 5.0", 1)))
-	if len(findings) > 0 {
-		t.Fatal(findings)
-	}
-	e.SetConfig(c)
+	e.SetConfig(parseConfig(t, strings.Replace(accountConfig, "rate = 20.0", "rate = 5.0", 1)))
 	now, r := e.now(), e.routing.Load()
 	if got := r.limit(now, "atelier").Rate; got != 20 {
 		t.Errorf("rate %v within the window, want 20", got)
--- a/process/entry/account_test.go
+++ b/process/entry/account_test.go
@@ -31,6 +31,15 @@
 keys = ["key-of-b"]
 `
 
+func parseConfig(t *testing.T, text string) *config.Config {
+	t.Helper()
+	c, findings := config.Parse("test.toml", []byte(text))
+	if len(findings) > 0 {
+		t.Fatal(findings)
+	}
+	return c
+}
+
 // Guards against an attempt that carries a wrong account or rank, or the key; against a
 // caller that passes for the customer of an account; and against a refused request that
 // reaches a gate.
@@ -149,11 +158,7 @@
 			t.Errorf("key %q without a configuration: status %d", key, status)
 		}
 	}
-	c, findings := config.Parse("test.toml", []byte(accountsConfig))
-	if len(findings) > 0 {
-		t.Fatal(findings)
-	}
-	e.SetConfig(c)
+	e.SetConfig(parseConfig(t, accountsConfig))
 	if status := get("key-of-b"); status != http.StatusServiceUnavailable { // no target
 		t.Errorf("known key: status %d", status)
 	}
