--- a/connection/quota/meter.go
+++ b/connection/quota/meter.go
@@ -40,11 +40,6 @@
 	lastResponse  time.Time // of another node
 }
 
-type node struct {
-	name string
-	hash uint64
-}
-
 // peerState is what a Meter knows of a node that did not respond.
 type peerState struct {
 	failures int
@@ -68,7 +63,7 @@
 	acked      Counts
 	ackedBy    string // the owner that acknowledged the last report; "" if it asked for recent
 	recent     history
-	start      Counts
+	start      Counts // when the account was put into memory
 	sentAt     time.Time
 	// waitingSince is when the first report was sent that is not acknowledged yet.
 	waitingSince time.Time
@@ -103,10 +98,7 @@
 	if slices.EqualFunc(m.nodes, names, func(n node, name string) bool { return n.name == name }) {
 		return
 	}
-	m.nodes = m.nodes[:0]
-	for _, name := range names {
-		m.nodes = append(m.nodes, node{name, xxhash.Sum64String(name)})
-	}
+	m.nodes = hashNodes(names)
 	maps.DeleteFunc(m.silent, func(name string, _ peerState) bool { return !slices.Contains(names, name) })
 	m.generation++
 }
@@ -266,7 +258,7 @@
 	if m.options.noHedge || a.waitingSince.IsZero() || now.Sub(a.waitingSince) < hedgeDelay || now.Sub(a.hedgedAt) < ReportInterval {
 		return
 	}
-	next := m.pick(a, func(n node) bool { return n.name != a.owner && m.reachable(n) })
+	next := pick(a.hash, m.nodes, func(n node) bool { return n.name != a.owner && m.reachable(n) })
 	if next != "" && m.addReport(now, out, next, m.hedgedReport(now, a)) {
 		a.hedgedAt = now
 	}
@@ -279,7 +271,7 @@
 	if m.options.noProbe || m.countUnreachable() == 0 {
 		return
 	}
-	first := m.pick(a, anyNode)
+	first := pick(a.hash, m.nodes, anyNode)
 	p := m.silent[first]
 	if p.until.IsZero() || now.Sub(p.probedAt) < CallTimeout {
 		return
@@ -296,21 +288,8 @@
 	return r
 }
 
-func anyNode(node) bool { return true }
-
 func (m *Meter) reachable(n node) bool { return m.silent[n.name].until.IsZero() }
 
-// pick returns the first node in the hash order of an account for which allowed is true.
-func (m *Meter) pick(a *meteredAccount, allowed func(node) bool) string {
-	best, highest := "", uint64(0)
-	for _, n := range m.nodes {
-		if w := weight(a.hash, n.hash); allowed(n) && (best == "" || w > highest || (w == highest && n.name < best)) {
-			best, highest = n.name, w
-		}
-	}
-	return best
-}
-
 // listMoved lists the accounts with requests in the last window whose owner has changed: a
 // new owner needs their histories, also from entries without new requests.
 func (m *Meter) listMoved(now time.Time) {
@@ -352,8 +331,8 @@
 		a.owner = m.options.Node
 		return
 	}
-	if a.owner = m.pick(a, m.reachable); a.owner == "" {
-		a.owner = m.pick(a, anyNode)
+	if a.owner = pick(a.hash, m.nodes, m.reachable); a.owner == "" {
+		a.owner = pick(a.hash, m.nodes, anyNode)
 	}
 }
 
--- a/connection/quota/quota.go
+++ b/connection/quota/quota.go
@@ -139,10 +139,30 @@
 // Owner picks the node that counts an account by a rendezvous hash. It returns "" if
 // there are no nodes.
 func Owner(account string, nodes []string) string {
-	best, highest, h := "", uint64(0), xxhash.Sum64String(account)
-	for _, node := range nodes {
-		if w := weight(h, xxhash.Sum64String(node)); best == "" || w > highest || (w == highest && node < best) {
-			best, highest = node, w
+	return pick(xxhash.Sum64String(account), hashNodes(nodes), anyNode)
+}
+
+type node struct {
+	name string
+	hash uint64
+}
+
+func hashNodes(names []string) []node {
+	out := make([]node, len(names))
+	for i, name := range names {
+		out[i] = node{name, xxhash.Sum64String(name)}
+	}
+	return out
+}
+
+func anyNode(node) bool { return true }
+
+// pick returns the first node in the hash order of an account for which allowed is true.
+func pick(account uint64, nodes []node, allowed func(node) bool) string {
+	best, highest := "", uint64(0)
+	for _, n := range nodes {
+		if w := weight(account, n.hash); (best == "" || w > highest || (w == highest && n.name < best)) && allowed(n) {
+			best, highest = n.name, w
 		}
 	}
 	return best
