--- a/process/entry/account_quota.go
+++ b/process/entry/account_quota.go
@@ -21,7 +21,7 @@
 	entry *Entry
 
 	meterMu sync.Mutex
-	meter   *quota.Meter // nil until Start
+	meter   *quota.Meter // nil until Start; requests are refused until then
 
 	ledgerMu sync.Mutex
 	ledger   *quota.Ledger
@@ -85,10 +85,7 @@
 	}
 	a := q.entry.accountQuota
 	a.meterMu.Lock()
-	decision := quota.Decision{Allowed: true}
-	if a.meter != nil {
-		decision = a.meter.Allow(now, q.account.Name, limit)
-	}
+	decision := a.meter.Allow(now, q.account.Name, limit)
 	a.meterMu.Unlock()
 	if !decision.Allowed {
 		q.entry.options.OnAccountRefused()
