--- a/connection/quota/meter.go
+++ b/connection/quota/meter.go
@@ -448,9 +448,10 @@
 	}
 }
 
-// replaces reports whether a verdict of another node replaces one that still applies. A
-// lower share of a hedge does: a slow owner's last verdict may be from the beginning of a
-// rise of the demand.
+// replaces reports whether a verdict of another node replaces one that still applies. None
+// replaces the verdict of the node that this entry reports to, and a hedge replaces only
+// a hedge. A lower share of a hedge always does: a slow owner's last verdict may be from
+// the beginning of a rise of the demand.
 func (m *Meter) replaces(v Verdict, a *meteredAccount) bool {
 	if v.Hedge && v.Share < a.verdict.Share && !m.options.noLowerHedge {
 		return true
