--- a/connection/quota/quota.go
+++ b/connection/quota/quota.go
@@ -80,6 +80,9 @@
 	return Counts{c.Admitted - o.Admitted, c.Refused - o.Refused, c.Returned - o.Returned}
 }
 
+// net returns the number of requests that ran or still run.
+func (c Counts) net() int64 { return c.Admitted - c.Returned }
+
 func (c Counts) atLeast(o Counts) Counts {
 	return Counts{max(c.Admitted, o.Admitted), max(c.Refused, o.Refused), max(c.Returned, o.Returned)}
 }
@@ -108,7 +111,8 @@
 	Recent []int32 `json:"h,omitempty"`
 	// Hedge marks a report to the next node in the hash order while the owner is silent.
 	Hedge bool `json:"b,omitempty"`
-	// Made is that of the verdict if the same node made it, which may have restarted since.
+	// Made is that of the verdict behind Share if the recipient made it. The recipient may
+	// have restarted since.
 	Made int64 `json:"m,omitempty"`
 }
 
@@ -135,10 +139,30 @@
 // Owner picks the node that counts an account by a rendezvous hash. It returns "" if
 // there are no nodes.
 func Owner(account string, nodes []string) string {
-	best, highest, h := "", uint64(0), xxhash.Sum64String(account)
-	for _, node := range nodes {
-		if w := weight(h, xxhash.Sum64String(node)); best == "" || w > highest || (w == highest && node < best) {
-			best, highest = node, w
+	return pick(xxhash.Sum64String(account), hashNodes(nodes), anyNode)
+}
+
+type node struct {
+	name string
+	hash uint64
+}
+
+func hashNodes(names []string) []node {
+	out := make([]node, len(names))
+	for i, name := range names {
+		out[i] = node{name, xxhash.Sum64String(name)}
+	}
+	return out
+}
+
+func anyNode(node) bool { return true }
+
+// pick returns the first node in the hash order of an account for which allowed is true.
+func pick(account uint64, nodes []node, allowed func(node) bool) string {
+	best, highest := "", uint64(0)
+	for _, n := range nodes {
+		if w := weight(account, n.hash); (best == "" || w > highest || (w == highest && n.name < best)) && allowed(n) {
+			best, highest = n.name, w
 		}
 	}
 	return best
