--- a/request/fallback/doc.go
+++ b/request/fallback/doc.go
@@ -13,8 +13,5 @@
 // Rejected callers return in the order in which they arrived, spread over the time in
 // which room is expected.
 //
-// In a burst, rejected requests that return would fill the slots after their objective has
-// passed; Returns keeps their age.
-//
 // It imports nothing else of this module.
 package fallback
