--- a/connection/admission/accepted.go
+++ b/connection/admission/accepted.go
@@ -1,9 +1,6 @@
 package admission
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// acceptedDecayTime is the time in which the rate of accepted work decays to 1/e. It
@@ -18,7 +15,8 @@
 
 // acceptedWork measures how much work of each rank a target accepts. Work that arrives
 // later and goes first delays waiting work: in a burst of urgent work, less urgent work
-// would otherwise wait for a part of its objective behind it and then be refused.
+// would otherwise wait for a part of its objective behind it and then be refused. It
+// holds only work for which canBeOvertaken is true.
 type acceptedWork map[acceptedKey]*acceptedRate
 
 type acceptedKey struct {
@@ -33,12 +31,16 @@
 }
 
 func (r *acceptedRate) value(now time.Time) float64 {
-	return r.slots * math.Exp(-float64(max(0, now.Sub(r.at)))/float64(acceptedDecayTime))
+	return decayed(r.slots, now.Sub(r.at), acceptedDecayTime)
 }
 
+// canBeOvertaken reports whether acceptedWork delays the work: it is short and came with
+// a rank. Without ranks the order is by priority and the expected wait as without this rate.
+func (sub *submission) canBeOvertaken() bool { return sub.work.Rank >= 0 && !sub.long }
+
 // add records work that starts or waits.
 func (a acceptedWork) add(now time.Time, sub *submission) {
-	if sub.work.Rank < 0 || sub.long {
+	if !sub.canBeOvertaken() {
 		return
 	}
 	key := acceptedKey{sub.rank, sub.late}
--- a/connection/admission/call_throttle.go
+++ b/connection/admission/call_throttle.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -31,17 +30,28 @@
 	at                 time.Time
 }
 
-// Add counts requests and those among them whose calls found room.
-func (c *CallCounts) Add(now time.Time, requests, accepted float64) {
-	c.decay(now)
-	c.Requests += requests
-	c.Accepted += accepted
+// Count adds a request and whether its calls found room.
+func (c *CallCounts) Count(now time.Time, foundRoom bool) {
+	one := CallCounts{Requests: 1}
+	if foundRoom {
+		one.Accepted = 1
+	}
+	c.add(now, one)
+}
+
+func (c *CallCounts) add(now time.Time, other CallCounts) {
+	*c = c.At(now)
+	c.Requests += other.Requests
+	c.Accepted += other.Accepted
 }
 
 // At returns the counts as decayed until now.
-func (c *CallCounts) At(now time.Time) CallCounts {
-	c.decay(now)
-	return *c
+func (c CallCounts) At(now time.Time) CallCounts {
+	elapsed := now.Sub(c.at)
+	if elapsed <= 0 {
+		return c
+	}
+	return CallCounts{decayed(c.Requests, elapsed, callDecayTime), decayed(c.Accepted, elapsed, callDecayTime), now}
 }
 
 // String returns the counts in the format of attempt.HeaderCallCounts.
@@ -64,13 +74,6 @@
 	return CallCounts{Requests: requests, Accepted: accepted}
 }
 
-func (c *CallCounts) decay(now time.Time) {
-	if elapsed := now.Sub(c.at); elapsed > 0 {
-		factor := math.Exp(-float64(elapsed) / float64(callDecayTime))
-		c.Requests, c.Accepted, c.at = c.Requests*factor, c.Accepted*factor, now
-	}
-}
-
 // CallThrottle decides which requests a gate refuses on arrival because the calls that runs
 // of their class make find no room. It answers the load pattern of two levels of services
 // whose called service is short of room: with ranks the calls of the least urgent work are
@@ -83,9 +86,9 @@
 type CallThrottle struct{ classes map[string]*callClass }
 
 type callClass struct {
-	own      CallCounts // requests that ended here
-	reported CallCounts // sums of the reports that came with requests
-	ranks    map[int]*CallCounts
+	own      CallCounts          // requests that ended here
+	reported CallCounts          // sums of the reports that came with requests
+	ranks    map[int]*CallCounts // requests that arrived here; Accepted is not used
 }
 
 func (t *CallThrottle) class(name string) *callClass {
@@ -104,7 +107,7 @@
 // and random is a number from 0 to 1.
 func (t *CallThrottle) Admit(now time.Time, class string, rank int, reported CallCounts, random float64) bool {
 	c := t.class(class)
-	c.reported.Add(now, reported.Requests, reported.Accepted)
+	c.reported.add(now, reported)
 	r := c.ranks[rank]
 	if r == nil {
 		if len(c.ranks) >= maxCallRanks {
@@ -113,11 +116,11 @@
 		r = &CallCounts{}
 		c.ranks[rank] = r
 	}
-	r.Add(now, 1, 0)
+	r.Count(now, false)
 	if random < c.admittedShare(now, rank) {
 		return true
 	}
-	c.own.Add(now, 1, 0)
+	c.own.Count(now, false)
 	return false
 }
 
@@ -142,11 +145,7 @@
 // Ended records the end of a request that was admitted: whether its calls found room, or it
 // made none.
 func (t *CallThrottle) Ended(now time.Time, class string, foundRoom bool) {
-	accepted := 0.0
-	if foundRoom {
-		accepted = 1
-	}
-	t.class(class).own.Add(now, 1, accepted)
+	t.class(class).own.Count(now, foundRoom)
 }
 
 // Prune forgets the classes for which keep returns false.
--- a/connection/admission/controller.go
+++ b/connection/admission/controller.go
@@ -409,7 +409,7 @@
 	var out []Decision
 	for i := len(t.queue) - 1; i >= 0; i-- {
 		sub := t.queue[i]
-		if sub.work.Rank < 0 || sub.long || sub.work.Called || t.accepted.before(now, sub) < 1 {
+		if !sub.canBeOvertaken() || sub.work.Called || t.accepted.before(now, sub) < 1 {
 			continue // not overtaken
 		}
 		wait := t.expectedWait(now, sub, c.options)
--- a/connection/admission/estimate.go
+++ b/connection/admission/estimate.go
@@ -19,6 +19,11 @@
 	a.value += weight * (seconds - a.value)
 }
 
+// decayed returns what is left of a value that decays to 1/e in decayTime.
+func decayed(value float64, elapsed, decayTime time.Duration) float64 {
+	return value * math.Exp(-float64(max(0, elapsed))/float64(decayTime))
+}
+
 const (
 	serviceWeight = 0.1 // weight of one service time in the estimate
 	windowSamples = 32  // service times in one latency window
--- a/connection/admission/target.go
+++ b/connection/admission/target.go
@@ -45,7 +45,7 @@
 	limit        float64 // concurrency limit, from floor() to Slots
 	rate         targetlimit.Limiter
 
-	accepted acceptedWork // short work with a rank
+	accepted acceptedWork
 
 	classes          map[classKey]*classState
 	shortServiceTime average
@@ -145,7 +145,7 @@
 	if t.shortPeakAt.IsZero() {
 		return t.shortPeak
 	}
-	return t.shortPeak * math.Exp(-float64(max(0, now.Sub(t.shortPeakAt)))/float64(peakDecayTime))
+	return decayed(t.shortPeak, now.Sub(t.shortPeakAt), peakDecayTime)
 }
 
 // shortReserve returns the number of slots within the limit that long work never
@@ -386,7 +386,7 @@
 		mean, slots = t.longServiceTime, max(1, t.longShare(now, int(t.limit)))
 	}
 	wait := time.Duration(float64(ahead+1) * mean.value * float64(time.Second) / float64(slots))
-	if sub.work.Rank >= 0 && !sub.long && !o.noOvertaking {
+	if sub.canBeOvertaken() && !o.noOvertaking {
 		wait = time.Duration(float64(wait) / max(minFreeShare, 1-t.accepted.before(now, sub)/float64(slots)))
 	}
 	return max(wait, t.rate.Wait(now, ahead+otherKind+1))
--- a/process/entry/calls.go
+++ b/process/entry/calls.go
@@ -30,11 +30,8 @@
 	if !q.routing.ranked {
 		return
 	}
-	accepted := 0.0
-	switch {
-	case r.verdict == attempt.VerdictRan && r.status < http.StatusInternalServerError:
-		accepted = 1
-	case r.reason != attempt.ReasonCallOverload && !r.callRefused:
+	foundRoom := r.verdict == attempt.VerdictRan && r.status < http.StatusInternalServerError
+	if !foundRoom && r.reason != attempt.ReasonCallOverload && !r.callRefused {
 		return
 	}
 	key := classKey{q.service, q.match.Route.Class}
@@ -43,7 +40,7 @@
 		counts = &admission.CallCounts{}
 		e.callCounts[key] = counts
 	}
-	counts.Add(now, 1, accepted)
+	counts.Count(now, foundRoom)
 }
 
 // minReportedRefusals is the decayed count of requests without room from which an entry
--- a/request/fallback/throttle_test.go
+++ b/request/fallback/throttle_test.go
@@ -23,7 +23,7 @@
 	if c.throttles[t.id].Admit(c.time(), q.class, q.rank, reported, c.random.Float64()) {
 		return true
 	}
-	c.entries[q.entry].Add(c.time(), 1, 0)
+	c.entries[q.entry].Count(c.time(), false)
 	return false
 }
 
@@ -37,11 +37,7 @@
 	if q.class != "order" {
 		return
 	}
-	accepted := 0.0
-	if foundRoom {
-		accepted = 1
-	}
-	c.entries[q.entry].Add(c.time(), 1, accepted)
+	c.entries[q.entry].Count(c.time(), foundRoom)
 }
 
 // Guards against less urgent orders that begin although their calls find no room at five small
