--- a/process/gate/breaker.go
+++ b/process/gate/breaker.go
@@ -64,8 +64,8 @@
 	g.failedCalls.Note(g.now())
 }
 
-// reportStatus reports the status of the target's response to the breaker. An error that
-// a failed call of the target explains is not reported.
+// reportStatus reports the status of the target's response to the call throttle and to the
+// breaker. An error that a failed call of the target explains is not reported to the breaker.
 func (e *exchange) reportStatus(status int) {
 	e.gate.mu.Lock()
 	e.observeCalls(status)
--- a/process/gate/call_throttle.go
+++ b/process/gate/call_throttle.go
@@ -16,8 +16,8 @@
 
 // checkCallThrottle refuses a request on arrival when the calls that runs of its class make
 // find no room. Work that is itself a call is not refused here: the run that waits for it
-// has begun, and the gate of that run learns of the shortage. The refusal holds for all
-// gates of the service, as its reason is not retried.
+// has begun, and the gate of that run learns of the shortage. Entries do not retry the
+// refusal, as the other gates of the service have the same shortage.
 func (e *exchange) checkCallThrottle() bool {
 	g := e.gate
 	g.mu.Lock()
@@ -26,12 +26,8 @@
 		return true
 	}
 	now := g.now()
-	rank := e.rank
-	if rank < 0 {
-		rank = g.classRank(e)
-	}
 	reported := admission.ParseCallCounts(e.r.Header.Get(attempt.HeaderCallCounts))
-	admitted := g.callThrottle.Admit(now, e.class, rank, reported, g.rand.Float64())
+	admitted := g.callThrottle.Admit(now, e.class, e.workOrClassRank(), reported, g.rand.Float64())
 	wait := admission.CallRetryAfter(e.deadline.Sub(now), g.rand.Float64())
 	g.mu.Unlock()
 	if !admitted {
--- a/process/gate/exchange.go
+++ b/process/gate/exchange.go
@@ -110,15 +110,6 @@
 	return e.gate.callers.Called(e.class)
 }
 
-// workRank returns the rank of the work, -1 when it is that of the class. A call has the
-// rank of the work that waits for it. The caller holds Gate.mu.
-func (e *exchange) workRank() int {
-	if e.callerRank >= 0 && e.gate.callers.Called(e.class) {
-		return e.callerRank
-	}
-	return e.rank
-}
-
 // beginOrder registers the attempt and reports whether it may run. It waits while
 // another attempt of the same order is in progress and responds itself when the
 // order has finished or is refused.
--- a/process/gate/rank_test.go
+++ b/process/gate/rank_test.go
@@ -7,20 +7,9 @@
 	"github.com/hyssopsill/hyssopsill/request/attempt"
 )
 
-// Guards against a malformed rank of a peer that is taken for the most urgent one.
-func TestRankOfHeader(t *testing.T) {
-	for text, want := range map[string]int{"": -1, "0": 0, "33": 33, "255": 255, "256": -1, "-1": -1, "1.5": -1, "x": -1, "99999999999999999999": -1} {
-		e := newExchange(newBudgetGate(t, &fakeClock{}), false)
-		e.r.Header.Set(attempt.HeaderRank, text)
-		if got := attempt.ParseRank(e.r.Header.Get(attempt.HeaderRank)); got != want {
-			t.Errorf("%q: rank %d, want %d", text, got, want)
-		}
-	}
-}
-
 // Guards against calls of less urgent work that go before urgent work at the called
-// service, also at the end of a chain of calls, and against a rank that a customer's request takes from the work on the host
-// of its entry.
+// service, also at the end of a chain of calls, and against a rank that a customer's
+// request takes from the work on the host of its entry.
 func TestCallsInheritTheRankOfTheirCaller(t *testing.T) {
 	g := newBudgetGate(t, &fakeClock{now: time.Unix(1000, 0)})
 	run := func(id, class string, rank int) *exchange {
--- a/process/gate/retry_budget.go
+++ b/process/gate/retry_budget.go
@@ -118,38 +118,6 @@
 	return retries / float64(running)
 }
 
-// MostUrgentRank returns the most urgent rank of the work that runs at the targets of this
-// gate, which calls of these targets inherit. Work that is itself a call counts with the
-// rank that it inherited, so that a chain of calls keeps the rank of the work that waits
-// for it. It is false without any work.
-func (g *Gate) MostUrgentRank() (rank int, ok bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, e := range g.active {
-		if !e.started || e.ticketEnded {
-			continue
-		}
-		own := e.workRank()
-		if own < 0 {
-			own = g.classRank(e)
-		}
-		if !ok || own < rank {
-			rank, ok = own, true
-		}
-	}
-	return rank, ok
-}
-
-// classRank returns the rank of work without a header. The caller holds g.mu.
-func (g *Gate) classRank(e *exchange) int {
-	t := g.targets[e.targetID]
-	if t == nil || g.config == nil {
-		return 0
-	}
-	rank := g.config.Services[t.Service].Classes[e.class].Rank
-	return attempt.CombinedRank(rank, rank)
-}
-
 // retryBudget returns this gate's part of a service's retry budget. The caller holds
 // g.mu.
 func (g *Gate) retryBudget(service string) *retry.Budget {
