--- a/process/entry/calls_test.go
+++ b/process/entry/calls_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strings"
 	"testing"
 
 	"github.com/hyssopsill/hyssopsill/connection/admission"
@@ -13,19 +12,14 @@
 // would multiply the requests that are let through, and against entries that do not report
 // what they learned, or report where ranks do not differ.
 func TestCallOverloadIsFinalAndReported(t *testing.T) {
-	ranked := strings.Replace(testConfig, "[services.shop.classes.browse]", "[services.shop.classes.browse]\nrank = 2", 1)
-	for text, wantCounts := range map[string]bool{ranked: true, testConfig: false} {
+	for text, wantCounts := range map[string]bool{rankedConfig: true, testConfig: false} {
 		reports := make(chan string, 10)
 		server := newTestEntryWith(t, text, func(w http.ResponseWriter, r *http.Request) {
 			reports <- r.Header.Get(attempt.HeaderCallCounts)
-			w.Header().Set(attempt.HeaderAttempt, r.Header.Get(attempt.HeaderAttempt))
-			w.Header().Set(attempt.HeaderVerdict, string(attempt.VerdictRefused))
-			w.Header().Set(attempt.HeaderReason, string(attempt.ReasonCallOverload))
-			attempt.NewProblem("r", attempt.NotRun, attempt.ReasonCallOverload, "", 0).Write(w)
+			refuseAttempt(w, r, attempt.ReasonCallOverload)
 		}, false, 3)
 		for range 2 {
-			req, _ := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL+"/kits", nil)
-			resp, err := http.DefaultClient.Do(req)
+			resp, err := http.Get(server.URL + "/kits")
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/process/entry/rank_test.go
+++ b/process/entry/rank_test.go
@@ -9,11 +9,13 @@
 	"github.com/hyssopsill/hyssopsill/request/attempt"
 )
 
+// rankedConfig is testConfig with a class whose rank differs from that of the others.
+var rankedConfig = strings.Replace(testConfig, "[services.shop.classes.browse]", "[services.shop.classes.browse]\nrank = 2", 1)
+
 // Guards against ranks that are sent where all are equal, which would change the order
 // of a deployment that did not ask for it, and against a rank that a caller chooses.
 func TestRankIsSentWhereRanksDiffer(t *testing.T) {
-	ranked := strings.Replace(testConfig, "[services.shop.classes.browse]", "[services.shop.classes.browse]\nrank = 2", 1)
-	for text, want := range map[string]string{testConfig: "", ranked: "34", ranked + "[accounts.a]\nrank = 1\nkeys = [\"k\"]\n": "18"} {
+	for text, want := range map[string]string{testConfig: "", rankedConfig: "34", rankedConfig + "[accounts.a]\nrank = 1\nkeys = [\"k\"]\n": "18"} {
 		ranks := make(chan string, 1)
 		server := newTestEntryWith(t, text, func(w http.ResponseWriter, r *http.Request) {
 			ranks <- r.Header.Get(attempt.HeaderRank)
