--- a/request/fallback/rank_test.go
+++ b/request/fallback/rank_test.go
@@ -27,43 +27,57 @@
 	return rank
 }
 
-// submitOrdersAndUrgentWork adds orders that make two calls each to five small targets, and
-// urgent work at these.
-func (c *crest) submitOrdersAndUrgentWork(urgentRate float64) {
-	c.addTargets("orders", 60, map[string]admission.Class{"order": {Objective: 2500 * time.Millisecond}})
-	c.addTargets("drawings", 5, map[string]admission.Class{"call": {Objective: 500 * time.Millisecond}, "direct": {Objective: 1500 * time.Millisecond}})
-	c.every(c.orderRate, func() {
-		c.submitCustomer(&crestRequest{class: "order", rank: 34, service: "orders", deadline: 6 * time.Second, objective: 2500 * time.Millisecond,
-			work: c.workTime(470 * time.Millisecond), calls: 2})
-	})
-	c.every(urgentRate, func() {
-		c.submitCustomer(&crestRequest{class: "direct", rank: 17, service: "drawings", deadline: 6 * time.Second, objective: 1500 * time.Millisecond,
-			work: c.workTime(120 * time.Millisecond), idempotent: true})
-	})
+// smallService is the capacity in requests/s of the five targets that the patterns below
+// call, and use for urgent work of half of it.
+const smallService = 5 * targetSlots / 0.12
+
+// withRanks are the mechanisms of a deployment in which ranks differ.
+var withRanks = mechanisms{lateQueue: true, calledFirst: true, ranks: true, inherit: true}
+
+// rankResult has shares of the urgent work and of the less urgent orders that were offered.
+type rankResult struct {
+	urgent, served, failed, calledFull float64
+	total                              float64 // requests served, mean of a run
+}
+
+// playRanks replays orders that make two calls each to five small targets, directly or
+// through a service whose targets only run calls, and urgent work at these targets. calls
+// is the rate of the calls as a part of their capacity.
+func playRanks(seeds uint64, calls float64, chain bool, with mechanisms) rankResult {
+	inTime, served, failed, calledFull, total, urgent, orders := 0, 0, 0, 0, 0, 0, 0
+	for seed := range seeds {
+		c := newCrest(seed, calls*smallService/2, with)
+		c.addTargets("orders", 60, map[string]admission.Class{"order": {Objective: 2500 * time.Millisecond}})
+		perOrder, relayed := 2, 0
+		if chain {
+			c.addTargets("plans", 30, map[string]admission.Class{"plan": {Objective: time.Second}})
+			perOrder, relayed = 1, 2
+		}
+		c.addTargets("drawings", 5, map[string]admission.Class{"call": {Objective: 500 * time.Millisecond}, "direct": {Objective: 1500 * time.Millisecond}})
+		c.every(c.orderRate, func() {
+			c.submitCustomer(&crestRequest{class: "order", rank: 34, service: "orders", deadline: 6 * time.Second, objective: 2500 * time.Millisecond,
+				work: c.workTime(470 * time.Millisecond), calls: perOrder, relayed: relayed})
+		})
+		c.every(0.5*smallService, func() {
+			c.submitCustomer(&crestRequest{class: "direct", rank: 17, service: "drawings", deadline: 6 * time.Second, objective: 1500 * time.Millisecond,
+				work: c.workTime(120 * time.Millisecond), idempotent: true})
+		})
+		c.run()
+		inTime, served, failed, calledFull = inTime+c.inTime["direct"], served+c.served["order"], failed+c.failed["order"], calledFull+c.calledFull["order"]
+		total += c.served["order"] + c.served["direct"]
+		urgent, orders = urgent+c.offered["direct"], orders+c.offered["order"]
+	}
+	of := func(n, offered int) float64 { return float64(n) / float64(offered) }
+	return rankResult{of(inTime, urgent), of(served, orders), of(failed, orders), of(calledFull, orders), of(total, int(seeds))}
 }
 
 // Guards against urgent work at five small targets that is refused, while calls of less
 // urgent work to them never are: together they need 1.4 times the capacity.
 func TestCallsOfLessUrgentWorkDoNotStarveUrgentWork(t *testing.T) {
-	const capacity = 5 * targetSlots / 0.12
-	type result struct{ direct, order, failed float64 }
-	run := func(orderRate float64, with mechanisms) (r result) {
-		direct, order, failed, offeredDirect, offeredOrder := 0, 0, 0, 0, 0
-		for seed := range uint64(2) {
-			c := newCrest(seed, orderRate, with)
-			c.submitOrdersAndUrgentWork(0.5 * capacity)
-			c.run()
-			direct, order, failed = direct+c.inTime["direct"], order+c.served["order"], failed+c.failed["order"]
-			offeredDirect, offeredOrder = offeredDirect+c.offered["direct"], offeredOrder+c.offered["order"]
-		}
-		return result{float64(direct) / float64(offeredDirect), float64(order) / float64(offeredOrder), float64(failed) / float64(offeredOrder)}
-	}
-	for _, calls := range []float64{0.9} {
-		with, before := run(calls*capacity/2, mechanisms{lateQueue: true, calledFirst: true, ranks: true}), run(calls*capacity/2, mechanisms{lateQueue: true, calledFirst: true})
-		t.Logf("calls %.1f times the capacity: %+.3f, without ranks %+.3f", calls, with, before)
-		if with.direct < 0.9 || with.direct <= before.direct {
-			t.Errorf("%.3f of the urgent work in time, want 0.9, without ranks %.3f", with.direct, before.direct)
-		}
+	with, before := playRanks(2, 0.9, false, withRanks), playRanks(2, 0.9, false, mechanisms{lateQueue: true, calledFirst: true})
+	t.Logf("%+.3f, without ranks %+.3f", with, before)
+	if with.urgent < 0.9 || with.urgent <= before.urgent {
+		t.Errorf("%.3f of the urgent work in time, want 0.9, without ranks %.3f", with.urgent, before.urgent)
 	}
 }
 
@@ -71,31 +85,11 @@
 // the rank of their class: orders call a service whose targets only run calls, and these call
 // five small targets, which would need 1.2 times their capacity with the urgent work.
 func TestChainsOfCallsKeepTheRankOfTheirWork(t *testing.T) {
-	const capacity = 5 * targetSlots / 0.12
-	run := func(inherit bool) (direct, orders float64) {
-		inTime, offered, served, placed := 0, 0, 0, 0
-		for seed := range uint64(2) {
-			c := newCrest(seed, 0.7*capacity/2, mechanisms{lateQueue: true, calledFirst: true, ranks: true, inherit: inherit})
-			c.addTargets("orders", 60, map[string]admission.Class{"order": {Objective: 2500 * time.Millisecond}})
-			c.addTargets("plans", 30, map[string]admission.Class{"plan": {Objective: time.Second}})
-			c.addTargets("drawings", 5, map[string]admission.Class{"call": {Objective: 500 * time.Millisecond}, "direct": {Objective: 1500 * time.Millisecond}})
-			c.every(c.orderRate, func() {
-				c.submitCustomer(&crestRequest{class: "order", rank: 34, service: "orders", deadline: 6 * time.Second, objective: 2500 * time.Millisecond,
-					work: c.workTime(470 * time.Millisecond), calls: 1, relayed: 2})
-			})
-			c.every(0.5*capacity, func() {
-				c.submitCustomer(&crestRequest{class: "direct", rank: 17, service: "drawings", deadline: 6 * time.Second, objective: 1500 * time.Millisecond,
-					work: c.workTime(120 * time.Millisecond), idempotent: true})
-			})
-			c.run()
-			inTime, offered, served, placed = inTime+c.inTime["direct"], offered+c.offered["direct"], served+c.served["order"], placed+c.offered["order"]
-		}
-		return float64(inTime) / float64(offered), float64(served) / float64(placed)
-	}
-	with, orders := run(true)
-	without, ordersWithout := run(false)
-	t.Logf("urgent work in time %.3f, orders served %.3f; without inherited ranks of calls %.3f, %.3f", with, orders, without, ordersWithout)
-	if with < 0.9 || with <= without {
-		t.Errorf("%.3f of the urgent work in time, want 0.9, without inherited ranks of calls %.3f", with, without)
+	classRank := withRanks
+	classRank.inherit = false
+	with, without := playRanks(2, 0.7, true, withRanks), playRanks(2, 0.7, true, classRank)
+	t.Logf("%+.3f, without inherited ranks of calls %+.3f", with, without)
+	if with.urgent < 0.9 || with.urgent <= without.urgent {
+		t.Errorf("%.3f of the urgent work in time, want 0.9, without inherited ranks of calls %.3f", with.urgent, without.urgent)
 	}
 }
--- a/request/fallback/throttle_test.go
+++ b/request/fallback/throttle_test.go
@@ -44,25 +44,10 @@
 // targets, which urgent work uses as well. The pattern is that of
 // TestCallsOfLessUrgentWorkDoNotStarveUrgentWork.
 func TestOrdersAreRefusedBeforeTheirCallsFindNoRoom(t *testing.T) {
-	const capacity, seeds = 5 * targetSlots / 0.12, 4
-	type result struct{ urgent, served, failed, calledFull, total float64 }
-	run := func(orderRate float64, throttle bool) (r result) {
-		sums, direct, orders := result{}, 0.0, 0.0
-		for seed := range uint64(seeds) {
-			c := newCrest(seed, orderRate, mechanisms{lateQueue: true, calledFirst: true, ranks: true, inherit: true, throttle: throttle})
-			c.submitOrdersAndUrgentWork(0.5 * capacity)
-			c.run()
-			sums.urgent += float64(c.inTime["direct"])
-			sums.served += float64(c.served["order"])
-			sums.failed += float64(c.failed["order"])
-			sums.calledFull += float64(c.calledFull["order"])
-			sums.total += float64(c.served["order"]+c.served["direct"]) / seeds
-			direct, orders = direct+float64(c.offered["direct"]), orders+float64(c.offered["order"])
-		}
-		return result{sums.urgent / direct, sums.served / orders, sums.failed / orders, sums.calledFull / orders, sums.total}
-	}
+	withThrottle := withRanks
+	withThrottle.throttle = true
 	for calls, maxFailed := range map[float64]float64{0.4: 1, 0.9: 0.8} {
-		with, without := run(calls*capacity/2, true), run(calls*capacity/2, false)
+		with, without := playRanks(4, calls, false, withThrottle), playRanks(4, calls, false, withRanks)
 		t.Logf("calls %.1f times the capacity: %+.3f, without throttle %+.3f", calls, with, without)
 		if with.calledFull > maxFailed*without.calledFull {
 			t.Errorf("calls %.1f: %.3f of the orders fail as a call finds no room, want at most %.1f times %.3f", calls, with.calledFull, maxFailed, without.calledFull)
