--- a/connection/admission/controller.go
+++ b/connection/admission/controller.go
@@ -176,7 +176,7 @@
 // wait is too long or the queue is full and no waiting work gives way to it.
 func (c *Controller) enqueue(now time.Time, t *target, sub *submission) Decision {
 	sub.customer = t.customerOf(sub.work.Customer)
-	if sub.work.Rank >= 0 {
+	if sub.work.Rank >= 0 { // acceptedWork tells late work from other work of its rank
 		sub.markLate(now)
 	}
 	sub.brief = !c.options.noBriefFirst && t.isBrief(sub)
@@ -339,7 +339,8 @@
 }
 
 // dispatch starts waiting work while slots are free. It refuses waiting work
-// that can no longer end before its deadline or has waited too long.
+// that can no longer end before its deadline, may outlast the handover of a draining node
+// or has waited too long.
 func (c *Controller) dispatch(now time.Time, t *target) []Decision {
 	if (t.draining || c.draining) && !c.options.noDrainCheck {
 		return nil
--- a/connection/admission/handover.go
+++ b/connection/admission/handover.go
@@ -26,12 +26,15 @@
 	handoverDeviations = 6
 )
 
+// ended reports whether the handover is over.
+func (h Handover) ended(now time.Time) bool { return !now.Before(h.Until) }
+
 // Accepts reports whether work that starts after wait may run: its deadline is before the
 // end, or it is expected to end before it. That holds for work that may run only once, too:
 // a target that gets only such work would otherwise be idle for the whole drain.
 func (h Handover) Accepts(now time.Time, work Work, wait, service time.Duration, known bool) bool {
 	switch {
-	case !now.Before(h.Until):
+	case h.ended(now):
 		return false
 	case h.End.IsZero():
 		return true
@@ -76,7 +79,7 @@
 
 // leaving reports whether the target or the node takes no more work.
 func (c *Controller) leaving(now time.Time, t *target) bool {
-	return t.draining || c.draining || c.handover != nil && !now.Before(c.handover.Until)
+	return t.draining || c.draining || c.handover != nil && c.handover.ended(now)
 }
 
 // outlastsHandover reports whether the node drains and work that starts after wait is
