--- a/connection/admission/bounds_test.go
+++ b/connection/admission/bounds_test.go
@@ -107,7 +107,6 @@
 func simulateBlocking(o Options, seed uint64, load float64, downloads bool) (short time.Duration, downloadRate float64) {
 	const targets, slots = 6, 4
 	sim := newSim(o, seed, targets, slots, 0, testClasses)
-	constant := func(value float64) func(time.Duration) float64 { return func(time.Duration) float64 { return value } }
 	const service, end = 25 * time.Millisecond, 60 * time.Second
 	targetCapacity := slots / service.Seconds()
 	streams := []stream{
--- a/connection/admission/handover_test.go
+++ b/connection/admission/handover_test.go
@@ -57,14 +57,11 @@
 	}
 	s.schedule(signal, func() { s.apply(s.controller.BeginDrain(epoch.Add(s.now), h)) })
 	s.schedule(signal+handover, func() { s.apply(s.controller.DrainAll(epoch.Add(s.now)).Refused) })
-	rate := func(perSecond float64) func(time.Duration) float64 {
-		return func(time.Duration) float64 { return perSecond }
-	}
 	s.run(signal+timeout,
-		stream{class: "browse", customer: "a", rate: rate(40), meanService: 40 * time.Millisecond, shape: 1, deadline: 8 * time.Second},
-		stream{class: "order", customer: "b", rate: rate(10), meanService: 60 * time.Millisecond, shape: 1, deadline: time.Second},
-		stream{class: "slow order", customer: "c", rate: rate(4), meanService: 4 * time.Second, shape: 2, deadline: 12 * time.Second},
-		stream{class: "report", customer: "d", rate: rate(2), meanService: 4 * time.Second, shape: 2, deadline: 20 * time.Second})
+		stream{class: "browse", customer: "a", rate: constant(40), meanService: 40 * time.Millisecond, shape: 1, deadline: 8 * time.Second},
+		stream{class: "order", customer: "b", rate: constant(10), meanService: 60 * time.Millisecond, shape: 1, deadline: time.Second},
+		stream{class: "slow order", customer: "c", rate: constant(4), meanService: 4 * time.Second, shape: 2, deadline: 12 * time.Second},
+		stream{class: "report", customer: "d", rate: constant(2), meanService: 4 * time.Second, shape: 2, deadline: 20 * time.Second})
 	var out drainResult
 	for _, perSecond := range s.answered {
 		for _, n := range perSecond[signal/time.Second:] {
--- a/connection/admission/rank_test.go
+++ b/connection/admission/rank_test.go
@@ -8,6 +8,9 @@
 	"github.com/hyssopsill/hyssopsill/request/invariant"
 )
 
+// capacity is that of 5 targets of 11 slots and 120 ms, in requests/s.
+const capacity = 5 * 11 / 0.12
+
 // within returns the share of the offered work of a class that ended within its objective.
 func (s *sim) within(class string, objective time.Duration) float64 {
 	good, offered := 0, 0
@@ -26,20 +29,14 @@
 // targets of 11 slots and 120 ms, of which urgent work needs 0.4, while the other class
 // grows from 0.5 to 1.7 or 4 times the capacity for 6 of 10 s.
 func TestUrgentWorkIsServedInBurst(t *testing.T) {
-	const capacity = 5 * 11 / 0.12
 	classes := map[string]Class{"urgent": {Objective: 600 * time.Millisecond}, "other": {Objective: 1200 * time.Millisecond}}
 	for _, burst := range []float64{1.7, 4} {
 		run := func(o Options) (urgent, all float64) {
 			s := newSim(o, 7, 5, 11, 0, classes)
-			s.run(30*time.Second, stream{class: "urgent", rank: 17, rate: func(time.Duration) float64 { return 0.4 * capacity },
+			s.run(30*time.Second, stream{class: "urgent", rank: 17, rate: constant(0.4 * capacity),
 				meanService: 120 * time.Millisecond, shape: 4, deadline: 4 * time.Second},
-				stream{class: "other", rank: 34, meanService: 120 * time.Millisecond, shape: 4, deadline: 6 * time.Second,
-					rate: func(at time.Duration) float64 {
-						if at%(10*time.Second) > 4*time.Second {
-							return burst * capacity
-						}
-						return 0.5 * capacity
-					}})
+				stream{class: "other", rank: 34, rate: surge(0.5*capacity, burst*capacity, 4*time.Second, 10*time.Second),
+					meanService: 120 * time.Millisecond, shape: 4, deadline: 6 * time.Second})
 			urgent = s.within("urgent", 600*time.Millisecond)
 			return urgent, 30*0.4*capacity*urgent + s.within("other", 1200*time.Millisecond)*30*capacity*(0.4*0.5+0.6*burst)
 		}
@@ -76,18 +73,12 @@
 // refused, as more urgent work arrives meanwhile: the urgent work grows from 0.4 to 1.2
 // times the capacity of 5 targets for 2 of 5 s.
 func TestOvertakenWorkIsRefusedEarly(t *testing.T) {
-	const capacity = 5 * 11 / 0.12
 	classes := map[string]Class{"urgent": {Objective: 1500 * time.Millisecond}, "other": {Objective: 3 * time.Second}}
 	run := func(o Options) (held, refused int, other float64) {
 		s := newSim(o, 11, 5, 11, 0, classes)
-		s.run(20*time.Second, stream{class: "urgent", rank: 17, meanService: 120 * time.Millisecond, shape: 4, deadline: 6 * time.Second,
-			rate: func(at time.Duration) float64 {
-				if at%(5*time.Second) > 3*time.Second {
-					return 1.2 * capacity
-				}
-				return 0.4 * capacity
-			}},
-			stream{class: "other", rank: 34, rate: func(time.Duration) float64 { return 0.7 * capacity }, meanService: 120 * time.Millisecond, shape: 4, deadline: 12 * time.Second})
+		s.run(20*time.Second, stream{class: "urgent", rank: 17, rate: surge(0.4*capacity, 1.2*capacity, 3*time.Second, 5*time.Second),
+			meanService: 120 * time.Millisecond, shape: 4, deadline: 6 * time.Second},
+			stream{class: "other", rank: 34, rate: constant(0.7 * capacity), meanService: 120 * time.Millisecond, shape: 4, deadline: 12 * time.Second})
 		for _, d := range s.refusedAfter["other"] {
 			refused++
 			if d > 500*time.Millisecond {
@@ -108,22 +99,15 @@
 // others: of 20 accounts one uses 0.2 of the capacity, and 1.2 for 6 of 10 s; the others
 // use 0.6 together, each less than its fair share.
 func TestHotAccountLeavesOthersTheirShare(t *testing.T) {
-	const capacity = 5 * 11 / 0.12
 	run := func(o Options) (hot, least float64) {
 		s := newSim(o, 3, 5, 11, 0, map[string]Class{"c": {Objective: 1500 * time.Millisecond}})
 		s.byCustomer = true
-		var streams []stream
-		for i := range 20 {
-			streams = append(streams, stream{class: "c", customer: fmt.Sprint("a", i), rank: 17, meanService: 120 * time.Millisecond, shape: 4, deadline: 6 * time.Second,
-				rate: func(at time.Duration) float64 {
-					switch {
-					case i > 0:
-						return 0.6 / 19 * capacity
-					case at%(10*time.Second) > 4*time.Second:
-						return 1.2 * capacity
-					}
-					return 0.2 * capacity
-				}})
+		account := func(i int, rate func(time.Duration) float64) stream {
+			return stream{class: "c", customer: fmt.Sprint("a", i), rank: 17, rate: rate, meanService: 120 * time.Millisecond, shape: 4, deadline: 6 * time.Second}
+		}
+		streams := []stream{account(0, surge(0.2*capacity, 1.2*capacity, 4*time.Second, 10*time.Second))}
+		for i := range 19 {
+			streams = append(streams, account(i+1, constant(0.6/19*capacity)))
 		}
 		s.run(30*time.Second, streams...)
 		least = 1
--- a/connection/admission/sim_test.go
+++ b/connection/admission/sim_test.go
@@ -39,6 +39,21 @@
 	rank        int
 }
 
+// constant returns a rate that does not change.
+func constant(perSecond float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return perSecond }
+}
+
+// surge returns a rate that is high instead of low after the first part of each period.
+func surge(low, high float64, first, period time.Duration) func(time.Duration) float64 {
+	return func(at time.Duration) float64 {
+		if at%period > first {
+			return high
+		}
+		return low
+	}
+}
+
 // sim runs a real Controller in virtual time against targets with random service
 // times. A simulated entry picks the less loaded of two random targets that are
 // not ejected and retries a refused request once at the least loaded other target.
