--- a/request/attempt/headers.go
+++ b/request/attempt/headers.go
@@ -25,7 +25,7 @@
 	HeaderCustomer          = "Hyssopsill-Customer"
 	HeaderAccountName       = "Hyssopsill-Account"      // the client account, also towards targets in the default profile
 	HeaderRank              = "Hyssopsill-Rank"         // urgency, 0 is the most urgent: 16 × rank of the account + rank of the class
-	HeaderCallerRank        = "Hyssopsill-Caller-Rank"  // the most urgent rank of the work that runs on the entry's host, calls with their inherited rank; that of a call
+	HeaderCallerRank        = "Hyssopsill-Caller-Rank"  // rank of the work if it is a call: the most urgent of the work on the entry's host, calls with their inherited rank
 	HeaderCallCounts        = "Hyssopsill-Call-Counts"  // requests of the class that the entry counts, "/", those whose calls found room; both decay
 	HeaderCallRefused       = "Hyssopsill-Call-Refused" // "1", in responses: the run failed because a call that it made found no room
 	HeaderLoads             = "Hyssopsill-Loads"        // in responses: loads of other targets of the service, with their ages
