--- a/cmd/hyssopsill/where.go
+++ b/cmd/hyssopsill/where.go
@@ -45,13 +45,7 @@
 	if err := a.print(c, out, func(w io.Writer) { writeDestinations(w, out.Destinations) }); err != nil {
 		return err
 	}
-	for address, message := range out.Errors {
-		fmt.Fprintf(a.stderr, "%s: %s\n", address, message)
-	}
-	if len(out.Destinations) == 0 {
-		return fmt.Errorf("no node responded")
-	}
-	return nil
+	return a.reportNodeErrors(out.Errors, len(out.Destinations))
 }
 
 func writeDestinations(w io.Writer, destinations []entry.Destination) {
