connection/loadview, selection: simpler view of a service

The map of IDs shows which IDs are shared by targets, so that no second map of keys is needed, and merging need not check it again. The known load of a member is a value.

--- a/connection/loadview/view.go
+++ b/connection/loadview/view.go
@@ -38,7 +38,7 @@
 // concurrent use.
 type View struct {
 	used   []*Known      // targets that this entry uses
-	byID   map[ID]*Known // nil: a target of the service that this entry does not use
+	byID   map[ID]*Known // nil: a target that this entry does not use, or one of several with the ID
 	means  [][2]float64  // of Load and Long, by failure domain and, last, of all
 	meanAt time.Time
 	// serviceTime is the mean time of a request at the targets; 0: not known.
@@ -64,10 +64,9 @@
 )
 
 // NewView returns a view of the targets of a service. known holds what is known of those
-// that the entry uses, by key; all lists the keys of all targets.
+// that the entry uses, by key; all lists the keys of all targets, each once.
 func NewView(known map[string]*Known, all []string) *View {
 	v := &View{byID: make(map[ID]*Known, len(all))}
-	seen := make(map[ID]string, len(all))
 	domains := map[string]int{}
 	for _, target := range all {
 		id := IDOf(target)
@@ -80,17 +79,17 @@
 			}
 			k.domain = domains[k.Domain]
 		}
-		if other, duplicate := seen[id]; duplicate && other != target {
-			for _, same := range []*Known{k, v.byID[id]} {
-				if same != nil {
-					same.ambiguous = true
-				}
-			}
-			v.byID[id] = nil
+		other, ambiguous := v.byID[id]
+		if !ambiguous {
+			v.byID[id] = k
 			continue
 		}
-		seen[id] = target
-		v.byID[id] = k
+		for _, same := range []*Known{k, other} {
+			if same != nil {
+				same.ambiguous = true
+			}
+		}
+		v.byID[id] = nil
 	}
 	v.means = make([][2]float64, len(domains)+1)
 	return v
@@ -155,7 +154,7 @@
 			counts.Bad++
 		case !ofService:
 			counts.Unknown++
-		case k == nil || k.ambiguous || !at.After(k.At):
+		case k == nil || !at.After(k.At):
 			counts.NotFresher++
 		default:
 			if k.At, k.Failing = at, s.Failing; !s.Failing {
@@ -216,10 +215,11 @@
 // Estimate is a probability distribution of a load per slot.
 type Estimate struct{ Mean, Deviation float64 }
 
-// Estimate returns what the load per slot of a target is now. The known load loses half of
-// its weight in a time that follows from the service time, unknownHalfLife while that is not known, to the mean of its failure
-// domain, whose demand may be far from that of the others; the variance grows towards that of a
-// Poisson load. It reports false when nothing is known of any target.
+// Estimate returns what the load per slot of a target is now. The known load loses its weight
+// to the mean of its failure domain, whose demand may be far from that of the others, and the
+// variance grows towards that of a Poisson load. The half-life follows from the service time;
+// it is unknownHalfLife while that is not known. Estimate reports false when nothing is known
+// of any target.
 func (v *View) Estimate(now time.Time, k *Known, long bool, slots float64, unknownHalfLife time.Duration) (Estimate, bool) {
 	halfLife := v.halfLife(unknownHalfLife)
 	if v.meanAt.IsZero() || now.Sub(v.meanAt) >= meanInterval || now.Before(v.meanAt) {
--- a/connection/selection/describe.go
+++ b/connection/selection/describe.go
@@ -24,13 +24,11 @@
 		if m.view != nil {
 			at = m.known.At
 		}
-		l := MemberLoad{Target: m.candidate.Target, Own: *m.inFlightCount(long), Load: s.load(now, m, long, 0), Age: -1}
+		e, _ := s.estimate(now, m, long, 0) // zero unless loads are shared
+		l := MemberLoad{Target: m.candidate.Target, Own: *m.inFlightCount(long), Load: s.load(now, m, long, 0), Deviation: e.Deviation, Age: -1}
 		if !at.IsZero() {
 			l.Age = max(now.Sub(at), 0)
 		}
-		if e, ok := s.estimate(now, m, long, 0); ok {
-			l.Deviation = e.Deviation
-		}
 		list[i] = l
 	}
 	return list
--- a/connection/selection/selector.go
+++ b/connection/selection/selector.go
@@ -54,7 +54,7 @@
 	freeSlot bool
 	// known is the load of the target in the view of its service, and starts are the
 	// times of the last short and long requests of this entry.
-	known  *loadview.Known
+	known  loadview.Known
 	view   *loadview.View   // nil unless loads are shared
 	starts *[2]recentStarts // nil unless loads are shared
 }
@@ -102,11 +102,11 @@
 	for _, c := range subset(s.options.Entry, s.options.Domain, s.options.SubsetSize, staying, !s.options.disabled.spread) {
 		m := previous[c.Target]
 		if m == nil {
-			m = &member{known: &loadview.Known{}}
+			m = &member{}
 		}
 		if m.candidate.ColdSince != c.ColdSince || m.slots == 0 {
 			m.slots, m.otherLoad, m.otherLongLoad = float64(max(c.Slots, 1)), 0, 0
-			*m.known = loadview.Known{}
+			m.known = loadview.Known{}
 		}
 		m.candidate, m.tier = c, s.tierOf(c)
 		s.targets[c.Target] = m
--- a/connection/selection/shared.go
+++ b/connection/selection/shared.go
@@ -18,11 +18,11 @@
 	r.next = (r.next + 1) % len(r.times)
 }
 
-// countSince returns the number of starts at or after t. Nothing that starts at the time of
-// a gate's report is part of it, as the gate made it before this entry got it.
+// countSince returns the number of starts at or after t. A request that starts at the time of
+// a gate's report counts, since the gate made the report before this entry got it.
 func (r *recentStarts) countSince(t time.Time) (n int) {
-	for i := range r.times {
-		if at := r.times[i]; !at.IsZero() && !at.Before(t) {
+	for _, at := range r.times {
+		if !at.IsZero() && !at.Before(t) {
 			n++
 		}
 	}
@@ -49,7 +49,7 @@
 func (svc *service) buildView(previous *service) {
 	known := make(map[string]*loadview.Known, len(svc.members))
 	for _, m := range svc.members {
-		known[m.candidate.Target] = m.known
+		known[m.candidate.Target] = &m.known
 		m.known.Domain = m.candidate.Domain
 	}
 	all := make([]string, len(svc.candidates))
@@ -93,8 +93,8 @@
 
 const (
 	// failingTime is the time for which a target is left out after its circuit breaker
-	// refused a request of any entry. Breakers admit a trial by idempotent work each
-	// second at least, so that such work returns earlier.
+	// refused a request of any entry, failingTimeIdempotent that for idempotent work, of
+	// which breakers admit a trial each second at least.
 	failingTime           = time.Second
 	failingTimeIdempotent = 500 * time.Millisecond
 )
@@ -131,7 +131,7 @@
 	if m.view == nil {
 		return loadview.Estimate{}, false
 	}
-	e, ok := m.view.Estimate(now, m.known, long, m.slots, s.options.LoadHalfLife)
+	e, ok := m.view.Estimate(now, &m.known, long, m.slots, s.options.LoadHalfLife)
 	if !ok {
 		return e, false
 	}
--- a/connection/selection/shared_test.go
+++ b/connection/selection/shared_test.go
@@ -91,8 +91,8 @@
 	}
 }
 
-// BenchmarkPickWithSharedLoads measures a choice and the check for a free slot elsewhere, as each request
-// makes them.
+// BenchmarkPickWithSharedLoads measures a choice and the check for a free slot elsewhere, as
+// each request makes them.
 func BenchmarkPickWithSharedLoads(b *testing.B) {
 	for _, share := range []bool{false, true} {
 		b.Run(fmt.Sprint("share=", share), func(b *testing.B) {
