--- a/process/entry/failing.go
+++ b/process/entry/failing.go
@@ -64,8 +64,8 @@
 }
 
 // rotationState returns a function that gives the health state of a target, with
-// weight 0 for targets that updateFailing marked for this kind of work, or of which other
-// entries passed on that their breakers refuse requests. The caller holds e.mu.
+// weight 0 for targets that updateFailing marked for this kind of work, and for those whose
+// breakers refused this or another entry, as far as shared loads show. The caller holds e.mu.
 func (e *Entry) rotationState(now time.Time, idempotent bool) func(string) health.State {
 	return func(key string) health.State {
 		state := e.health.State(key)
--- a/process/entry/where.go
+++ b/process/entry/where.go
@@ -1,7 +1,8 @@
 package entry
 
 import (
-	"fmt"
+	"net/http"
+	"net/url"
 	"strings"
 	"time"
 
@@ -42,8 +43,8 @@
 }
 
 // Where explains where a request would go now, without sending it. It counts against no
-// limit, and takes no trickle slot. The choice between equal targets is random, so that the
-// next request may go elsewhere.
+// limit, and takes no trickle slot. Choices are random, so that the next request may go to
+// another target.
 func (e *Entry) Where(method, host, path, account string) Destination {
 	d := Destination{Node: e.options.Node, Account: account}
 	r := e.routing.Load()
@@ -56,30 +57,21 @@
 		d.AccountKnown, d.AccountRank = true, a.Rank
 	}
 	path, _, _ = strings.Cut(path, "?")
-	if !cleanPath(path) {
-		d.Why = fmt.Sprintf("path %q: want an absolute path without '.' and '..' segments", path)
+	q := request{entry: e, routing: r, callerRequest: &http.Request{Method: method, Host: host, URL: &url.URL{Path: path}}}
+	if _, err := q.route(); err != nil {
+		d.Why = err.Error()
 		return d
 	}
-	match, ok := r.table.Match(method, host, path)
-	if !ok {
-		d.Why = fmt.Sprintf("no route for %s %s", method, path)
-		return d
-	}
-	service := match.Route.Service
-	if len(match.Route.Split) > 0 {
-		service = e.pickSplitService(match.Route.Split)
-		d.Split = true
-	}
-	d.Route, d.Service, d.Class = match.Route.ID, service, match.Route.Class
-	class := r.config.Services[service].Classes[match.Route.Class]
+	route, class := q.match.Route, &q.class
+	d.Route, d.Service, d.Class, d.Split = route.ID, q.service, route.Class, len(route.Split) > 0
 	f := e.fleet.Load()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
-	d.Long = class.Long || (class.Learn && e.learner.IsLong(match.Route.ID, match.PathGroup))
-	query := selection.Query{Service: service, Long: d.Long, RemoteCostFactor: e.remoteCostFactor(match.Route.ID)}
+	d.Long = class.Long || (class.Learn && e.learner.IsLong(route.ID, q.match.PathGroup))
+	query := selection.Query{Service: q.service, Long: d.Long, RemoteCostFactor: e.remoteCostFactor(route.ID)}
 	state := e.rotationState(now, class.Idempotent)
-	for _, l := range e.selector.MemberLoads(now, service, d.Long) {
+	for _, l := range e.selector.MemberLoads(now, q.service, d.Long) {
 		target, st := f.targets[l.Target], state(l.Target)
 		c := DestinationCandidate{Target: target.info.ID, Own: l.Own, Load: l.Load, Deviation: l.Deviation,
 			AgeMS: -1, Weight: st.Weight, Suspicion: max(st.Suspicion, st.PathSuspicion), Why: st.Why}
@@ -96,7 +88,7 @@
 	}
 	choice, ok := e.selector.Pick(now, query, state)
 	if !ok {
-		d.Why = "no target of service " + service + " is in rotation"
+		d.Why = "no target of service " + q.service + " is in rotation"
 		return d
 	}
 	d.Choice, d.ChoiceNode, d.Why = f.targets[choice.Target].info.ID, choice.Node, choice.Why
