--- a/bench/balance.go
+++ b/bench/balance.go
@@ -17,18 +17,18 @@
 // phases apart, so that the fleet's demand stays the same. It measures how evenly a policy
 // loads the targets when what it knows of their load is of a given age.
 const (
-	balanceDomains       = 4
-	balanceSlots         = 11
-	balanceUse           = 0.62 // mean share of slots in use
-	balanceSwing         = 0.55 // of a domain's demand
-	balancePeriod        = 20 * time.Second
-	balanceRate          = 0.6 // requests/s of an entry to the service: 2.4, to four services
-	balanceStep          = 100 * time.Millisecond
-	balanceSample        = 10 * time.Millisecond
-	balanceWarmup        = 10 * time.Second
-	balanceRunTime       = 50 * time.Second
-	balanceEntriesPerSet = 4  // entries per target of the service
-	balanceRemoteCost    = .2 // the cost of another domain for small exchanges
+	balanceDomains          = 4
+	balanceSlots            = 11
+	balanceUse              = 0.62 // mean share of slots in use
+	balanceSwing            = 0.55 // of a domain's demand
+	balancePeriod           = 20 * time.Second
+	balanceRate             = 0.6 // requests/s of an entry to the service: 2.4, to four services
+	balanceStep             = 100 * time.Millisecond
+	balanceSample           = 10 * time.Millisecond
+	balanceWarmup           = 10 * time.Second
+	balanceRunTime          = 50 * time.Second
+	balanceEntriesPerTarget = 4
+	balanceRemoteCost       = .2 // the cost of another domain for small exchanges
 )
 
 // balanceTarget is a target with its work, running and waiting.
@@ -55,12 +55,13 @@
 // balanceRun is one run of the pattern.
 type balanceRun struct {
 	*scheduler
-	rng     *rand.Rand
-	targets []*balanceTarget
-	entries []*balanceEntry
-	choose  balancePolicy
-	age     time.Duration // of what the policies of fixed age know
-	rate    float64       // requests/s of an entry
+	rng        *rand.Rand
+	targets    []*balanceTarget
+	candidates []selection.Candidate // the targets
+	entries    []*balanceEntry
+	choose     balancePolicy
+	age        time.Duration // of what the policies of fixed age know
+	rate       float64       // requests/s of an entry
 	// remoteCost is added to the load per slot of targets in other domains.
 	remoteCost   float64
 	onResponse   func(e *balanceEntry, t *balanceTarget, serviceTime time.Duration) // the work has freed its slot
@@ -78,21 +79,16 @@
 // balancePolicy returns the index of the target for a request of an entry.
 type balancePolicy func(r *balanceRun, e *balanceEntry) int
 
-func newBalanceRun(entries int, seed uint64) *balanceRun {
-	return newBalanceRunAt(entries, balanceRate, seed)
-}
-
-// newBalanceRunAt is newBalanceRun with another rate of requests per entry. The service time
-// follows from it, as the load stays the same.
-func newBalanceRunAt(entries int, rate float64, seed uint64) *balanceRun {
+// newBalanceRun returns a run with a rate of requests per entry. The service time follows
+// from the rate, as the load stays the same.
+func newBalanceRun(entries int, rate float64, seed uint64) *balanceRun {
 	r := &balanceRun{scheduler: newScheduler(), rng: rand.New(rand.NewPCG(seed, 7)), remoteCost: balanceRemoteCost, rate: rate}
-	count := entries / balanceEntriesPerSet
+	count := entries / balanceEntriesPerTarget
 	r.meanService = float64(count*balanceSlots) * balanceUse / (float64(entries) * rate)
-	var candidates []selection.Candidate
 	for i := range count {
 		t := &balanceTarget{index: i, domain: i % balanceDomains, speed: 0.6 + 0.8*r.rng.Float64()}
 		r.targets = append(r.targets, t)
-		candidates = append(candidates, balanceCandidate(t))
+		r.candidates = append(r.candidates, balanceCandidate(t))
 	}
 	mean := 0.0 // of the speeds: the demand is for targets of mean speed 1
 	for _, t := range r.targets {
@@ -103,9 +99,8 @@
 	}
 	for i := range entries {
 		e := &balanceEntry{name: fmt.Sprintf("n%03d", i), index: i, domain: i % balanceDomains, own: map[int]map[int]time.Time{}}
-		for _, c := range selection.Subset(e.name, balanceDomain(e.domain), 24, candidates) {
-			var index int
-			_, _ = fmt.Sscanf(c.Target, "t%03d", &index)
+		for _, c := range selection.Subset(e.name, balanceDomain(e.domain), 24, r.candidates) {
+			index := balanceIndex(c.Target)
 			e.subset = append(e.subset, index)
 			tier := 1
 			if r.targets[index].domain == e.domain {
@@ -126,6 +121,12 @@
 		Domain: balanceDomain(t.domain), Service: "svc", Slots: balanceSlots}
 }
 
+// balanceIndex returns the index of the target with a key that balanceCandidate gave it.
+func balanceIndex(target string) int {
+	index, _ := strconv.Atoi(target[1:])
+	return index
+}
+
 // run runs the pattern to its end.
 func (r *balanceRun) run() {
 	r.every(balanceSample, r.sample)
@@ -240,90 +241,66 @@
 	return float64(load) / balanceSlots
 }
 
-// agedCosts returns the cost of each member of the entry's subset: the known load, aged
-// towards the mean by halfLife, weighted by speed to the given power, plus the cost of the
-// domain.
-func (r *balanceRun) agedCosts(e *balanceEntry, halfLife time.Duration, speedPower float64) map[int]float64 {
-	mean := 0.0
-	costs := make(map[int]float64, len(e.subset))
+// meanKnown returns the mean load per slot of the subset that an entry knows.
+func (r *balanceRun) meanKnown(e *balanceEntry) (mean float64) {
 	for _, i := range e.subset {
-		costs[i] = r.known(e, i)
-		mean += costs[i] / float64(len(e.subset))
+		mean += r.known(e, i) / float64(len(e.subset))
 	}
-	weight := 1.0
-	if halfLife > 0 {
-		weight = math.Exp2(-float64(r.age) / float64(halfLife))
-	}
-	for _, i := range e.subset {
-		costs[i] = (costs[i]*weight + mean*(1-weight)) * math.Pow(r.targets[i].speed, speedPower)
-		if r.targets[i].domain != e.domain {
-			costs[i] += r.remoteCost
+	return mean
+}
+
+// leastCost returns the target of least cost of d random ones of each tier, or of all with
+// d = 0. The cost of the domain is added.
+func (r *balanceRun) leastCost(e *balanceEntry, d int, cost func(target int) float64) int {
+	best, bestCost := -1, math.Inf(1)
+	for tier, members := range e.members {
+		for place, p := range r.rng.Perm(len(members)) {
+			if d > 0 && place >= d {
+				break
+			}
+			if c := cost(members[p]) + float64(tier)*r.remoteCost; c < bestCost {
+				best, bestCost = members[p], c
+			}
 		}
 	}
-	return costs
+	return best
 }
 
-// leastOf returns a policy that takes the target of least cost of d random ones of each
-// tier, or of all with d = 0.
+// leastOf returns a policy that takes the least known load, aged towards the mean by halfLife
+// (0: not aged) and weighted by speed to the given power.
 func leastOf(d int, halfLife time.Duration, speedPower float64) balancePolicy {
 	return func(r *balanceRun, e *balanceEntry) int {
-		costs := r.agedCosts(e, halfLife, speedPower)
-		best, bestCost := -1, math.Inf(1)
-		for _, members := range e.members {
-			for place, p := range r.rng.Perm(len(members)) {
-				if d > 0 && place >= d {
-					break
-				}
-				if i := members[p]; costs[i] < bestCost {
-					best, bestCost = i, costs[i]
-				}
-			}
+		mean, weight := r.meanKnown(e), 1.0
+		if halfLife > 0 {
+			weight = math.Exp2(-float64(r.age) / float64(halfLife))
 		}
-		return best
+		return r.leastCost(e, d, func(i int) float64 {
+			return (r.known(e, i)*weight + mean*(1-weight)) * math.Pow(r.targets[i].speed, speedPower)
+		})
 	}
 }
 
-// sampled returns a policy that draws a load for each target from what is known of it and
-// takes the least of d random ones of each tier. A load of a given age has lost weight
-// exp2(-age/halfLife) to the mean of the service, with the spread of a Poisson load.
-func sampled(d int, halfLife time.Duration, spread float64) balancePolicy {
+// sampled returns a policy that draws a load for each target from what is known of it. A load
+// of a given age has lost weight exp2(-age/halfLife) to the mean of the service, with the
+// spread of a Poisson load.
+func sampled(d int, halfLife time.Duration) balancePolicy {
 	return func(r *balanceRun, e *balanceEntry) int {
-		mean := 0.0
-		for _, i := range e.subset {
-			mean += r.known(e, i) / float64(len(e.subset))
-		}
-		weight := math.Exp2(-float64(r.age) / float64(halfLife))
-		deviation := spread * math.Sqrt(mean/balanceSlots*(1-weight*weight))
-		best, bestCost := -1, math.Inf(1)
-		for tier, members := range e.members {
-			for place, p := range r.rng.Perm(len(members)) {
-				if d > 0 && place >= d {
-					break
-				}
-				cost := r.known(e, members[p])*weight + mean*(1-weight) + deviation*r.rng.NormFloat64()
-				if tier == 1 {
-					cost += r.remoteCost
-				}
-				if cost < bestCost {
-					best, bestCost = members[p], cost
-				}
-			}
-		}
-		return best
+		mean, weight := r.meanKnown(e), math.Exp2(-float64(r.age)/float64(halfLife))
+		deviation := math.Sqrt(mean / balanceSlots * (1 - weight*weight))
+		return r.leastCost(e, d, func(i int) float64 {
+			return r.known(e, i)*weight + mean*(1-weight) + deviation*r.rng.NormFloat64()
+		})
 	}
 }
 
-// hotCold takes a random target of the entry's domain whose known load is below limit
-// times the mean, else one of another domain, else any.
+// hotCold takes a random target of the entry's domain whose known load is at most limit times
+// the mean, else one of another domain, else any.
 func hotCold(limit float64) balancePolicy {
 	return func(r *balanceRun, e *balanceEntry) int {
-		mean := 0.0
-		for _, i := range e.subset {
-			mean += r.known(e, i) / float64(len(e.subset))
-		}
+		mean := r.meanKnown(e)
 		for _, members := range e.members {
 			for _, p := range r.rng.Perm(len(members)) {
-				if load := r.known(e, members[p]); load <= max(limit*mean, 1/balanceSlots) && load < 1 {
+				if load := r.known(e, members[p]); load <= limit*mean && load < 1 {
 					return members[p]
 				}
 			}
@@ -352,22 +329,17 @@
 // responses give them. With share, responses carry the loads that the node of the gate
 // knows; with shareRemote false, only those within a failure domain do.
 func (r *balanceRun) useSelectors(share, shareRemote bool) {
-	var candidates []selection.Candidate
-	for _, t := range r.targets {
-		candidates = append(candidates, balanceCandidate(t))
-	}
 	selectors := make([]*selection.Selector, len(r.entries))
 	for i, e := range r.entries {
 		selectors[i] = selection.New(selection.Options{Entry: e.name, Domain: balanceDomain(e.domain), ShareLoads: share},
 			rand.New(rand.NewPCG(r.rng.Uint64(), uint64(i))))
-		selectors[i].SetCandidates(r.now, candidates)
+		selectors[i].SetCandidates(r.now, r.candidates)
 	}
 	r.choose = func(r *balanceRun, e *balanceEntry) int {
 		s := selectors[e.index]
 		choice, _ := s.Pick(r.now, selection.Query{Service: "svc", RemoteCostFactor: r.remoteCost / 0.5}, func(string) health.State { return health.State{Weight: 1} })
 		s.Started(choice.Target, false)
-		index, _ := strconv.Atoi(choice.Target[1:])
-		return index
+		return balanceIndex(choice.Target)
 	}
 	r.onResponse = func(e *balanceEntry, t *balanceTarget, serviceTime time.Duration) {
 		key, s, host := balanceCandidate(t).Target, selectors[e.index], selectors[t.index]
--- a/bench/balance_test.go
+++ b/bench/balance_test.go
@@ -12,7 +12,7 @@
 func TestSharedLoadsFindFreeSlots(t *testing.T) {
 	t.Parallel()
 	run := func(share bool) balanceFigures {
-		r := newBalanceRun(97, 1)
+		r := newBalanceRun(97, balanceRate, 1)
 		r.useSelectors(share, false)
 		r.run()
 		return r.figures()
@@ -41,16 +41,16 @@
 		{"least-of-4", leastOf(4, 0, 0)},
 		{"hot-cold-1.0", hotCold(1.0)},
 		{"hot-cold-1.2", hotCold(1.2)},
-		{"drawn-of-2", sampled(2, time.Second, 1)},
-		{"drawn-of-4", sampled(4, time.Second, 1)},
-		{"drawn-of-all", sampled(0, time.Second, 1)},
+		{"drawn-of-2", sampled(2, time.Second)},
+		{"drawn-of-4", sampled(4, time.Second)},
+		{"drawn-of-all", sampled(0, time.Second)},
 	}
 	for _, entries := range balanceSizes {
 		for _, age := range []time.Duration{10 * time.Millisecond, 100 * time.Millisecond, time.Second, 10 * time.Second} {
 			for _, p := range policies {
 				b.Run(fmt.Sprintf("entries=%d/age=%s/%s", entries, age, p.name), func(b *testing.B) {
 					for b.Loop() {
-						r := newBalanceRun(entries, 1)
+						r := newBalanceRun(entries, balanceRate, 1)
 						r.choose, r.age = p.choose, age
 						r.run()
 						reportBalance(b, r)
@@ -70,7 +70,7 @@
 				for _, variant := range []string{"own", "shared", "within"} {
 					b.Run(fmt.Sprintf("entries=%d/rate=%.1f/cost=%.2f/%s", entries, rate, cost, variant), func(b *testing.B) {
 						for b.Loop() {
-							r := newBalanceRunAt(entries, rate, 1)
+							r := newBalanceRun(entries, rate, 1)
 							r.remoteCost = cost
 							r.useSelectors(variant != "own", variant == "shared")
 							r.run()
