--- a/connection/breaker/breaker.go
+++ b/connection/breaker/breaker.go
@@ -46,9 +46,9 @@
 	MaxTrialTime            time.Duration
 	MaxSuccesses            int
 
-	// For tests: returns to the rules before, under which a non-idempotent trial after a
-	// success waits as long as one after a failure, and an inconclusive trial counts as
-	// a failure.
+	// slowReturn is for the test that compares with earlier rules: a non-idempotent trial
+	// after a success waits as long as one after a failure, and an inconclusive failure
+	// counts as a failure while the breaker is open.
 	slowReturn bool
 }
 
@@ -86,7 +86,7 @@
 	options        Options
 	failures       int // since the breaker was last closed
 	successes      int // since the last failure
-	inconclusive   int // inconclusive failures since the last success or failure
+	inconclusive   int // inconclusive failures since the last failure, or success while closed
 	failedAt       time.Time
 	trialStartedAt time.Time
 	trialRunning   bool
@@ -113,7 +113,7 @@
 }
 
 // RetryAfter returns the time after which the next trial by idempotent or by other work
-// may start, at most a trial that is running now.
+// may start. The outcome of a trial that is running may admit it sooner.
 func (b *Breaker) RetryAfter(now time.Time, idempotent bool) time.Duration {
 	if !b.Open() {
 		return 0
@@ -125,7 +125,7 @@
 			wait = b.trialInterval()
 		}
 		if b.trialRunning {
-			wait = max(wait, b.maxTrialTime())
+			wait = max(wait, b.options.MaxTrialTime)
 		}
 	} else if b.trialRunning || b.successes == 0 || b.options.slowReturn {
 		// A target that fails nine requests in ten rarely has a success, so that after
@@ -135,14 +135,6 @@
 	return max(0, wait-now.Sub(b.lastTrialOrFailure()))
 }
 
-// maxTrialTime returns the time after which a running trial blocks no other.
-func (b *Breaker) maxTrialTime() time.Duration {
-	if b.options.slowReturn {
-		return b.options.NonIdempotentTrialAfter
-	}
-	return b.options.MaxTrialTime
-}
-
 // lastTrialOrFailure returns the time of the last start of a trial or the last
 // failure, whichever is later.
 func (b *Breaker) lastTrialOrFailure() time.Time {
--- a/connection/breaker/return_test.go
+++ b/connection/breaker/return_test.go
@@ -89,7 +89,11 @@
 		{"some calls, called services fail", 0.1, 0.2, 2500 * time.Millisecond},
 	} {
 		play := func(slow bool) (time.Duration, time.Duration, float64) {
-			p := errorPeriods{breaker: New(Options{slowReturn: slow}), random: rand.New(rand.NewPCG(1, 2)),
+			o := Options{slowReturn: slow}
+			if slow {
+				o.MaxTrialTime = DefaultNonIdempotentTrialAfter
+			}
+			p := errorPeriods{breaker: New(o), random: rand.New(rand.NewPCG(1, 2)),
 				idempotentShare: pattern.idempotentShare, calledFailures: pattern.calledFailures}
 			return p.play()
 		}
