--- a/process/control/documents.go
+++ b/process/control/documents.go
@@ -27,12 +27,12 @@
 	minWatchWait = 600 * time.Millisecond
 	maxWatchWait = 1400 * time.Millisecond
 	// The other readers wait between minFollowWait and maxFollowWait, as calls are paid
-	// for and the watchers forward changes. The times vary, since a change ends the
+	// for and the watchers announce changes. The times vary, since a change ends the
 	// reads of all readers at once.
 	minFollowWait = 300 * time.Millisecond
 	maxFollowWait = 20 * time.Second
 	// checkInterval is the mean time between reads of a node that does not follow
-	// the table. Peers forward changes to it within about a second.
+	// the table. Peers announce changes to it within about a second.
 	checkInterval = 15 * time.Second
 	// lostCheckInterval applies instead to a node that cannot read the table while
 	// others can. All calls are paid for, also those that the service refuses.
@@ -329,8 +329,8 @@
 
 // Configuration implements Handler: it offers the documents that a peer sends and
 // returns the one in force if it is newer than the peer's. A request for no entries
-// announces the version that the peer has; each node then gets the document once, while
-// several peers announce it.
+// announces the version that the peer has. A node fetches an announced document once,
+// although several peers announce it.
 func (d *Documents) Configuration(_ context.Context, r *controlpb.ConfigurationRequest) (*controlpb.ConfigurationResponse, error) {
 	for _, e := range r.GetEntries() {
 		d.offer(e.GetData(), document.FromPeer, "peer "+r.GetFrom())
@@ -348,8 +348,8 @@
 	return response, nil
 }
 
-// handleAnnouncement fetches the document of a peer that announced a newer one, unless it
-// was requested elsewhere already.
+// handleAnnouncement fetches a newer document after its announcement, unless it was
+// requested a short time ago.
 func (d *Documents) handleAnnouncement(node string, version int64) {
 	d.mu.Lock()
 	peer, ok := d.core.Announce(time.Now(), node, version)
--- a/version/document/core.go
+++ b/version/document/core.go
@@ -70,7 +70,7 @@
 
 const (
 	FromLog  Source = iota + 1 // read from the log service
-	FromPeer                   // forwarded by another node
+	FromPeer                   // sent by another node
 )
 
 // Core holds the document in force. It is not safe for concurrent use.
@@ -113,8 +113,8 @@
 	}
 }
 
-// Announce records that a peer has announced a version, and returns the peer if its
-// document is to be requested from it now.
+// Announce records that a peer has announced a version, and returns the peer from which
+// to request a newer document now, which may be another one (see NewerPeer).
 func (c *Core) Announce(now time.Time, node string, version int64) (distribute.Peer, bool) {
 	i := slices.IndexFunc(c.peers, func(p distribute.Peer) bool { return p.Node == node })
 	if i < 0 || version <= c.Version() {
@@ -163,7 +163,7 @@
 		c.reporter.Check(invariant.ConfigForward, next.Version >= c.Version(), "version %d after %d", next.Version, c.Version())
 	}
 	c.config, c.data = next, slices.Clone(data)
-	c.newerSince, c.nextRequest = time.Time{}, time.Time{} // requests are limited while none succeeds
+	c.newerSince, c.nextRequest = time.Time{}, time.Time{} // the next newer document may be requested at once
 	maps.DeleteFunc(c.announced, func(_ string, version int64) bool { return version <= next.Version })
 	if c.options.OnConfig != nil {
 		c.options.OnConfig(next)
@@ -223,9 +223,10 @@
 }
 
 // NewerPeer returns a random peer from which to request a newer document, at most
-// once each requestInterval. A peer of another failure domain is returned only when
-// none of the own domain has had a newer document for foreignDelay. Without a document
-// it returns any peer, since the versions known of them may be out of date.
+// once each requestInterval. A peer of another failure domain is returned only when no
+// peer of the own domain has a newer document and one has been known for foreignDelay.
+// Without a document it returns any peer, since the versions known of them may be out
+// of date.
 func (c *Core) NewerPeer(now time.Time) (distribute.Peer, bool) {
 	var own, foreign []distribute.Peer
 	for _, p := range c.peers {
--- a/version/document/core_test.go
+++ b/version/document/core_test.go
@@ -87,9 +87,9 @@
 }
 
 // Guards against a node that stays on an old document when it can't read the log
-// service and no peer forwards a new one: it must request one from a peer with a
+// service and no peer announces a new one: it must request one from a peer with a
 // newer version (from any peer while it has no document), and not too often. Also
-// guards against forwarding to a peer that has the version.
+// guards against announcing to a peer that has the version.
 func TestNewerPeerAndPeersToAnnounce(t *testing.T) {
 	c := newCore(nil)
 	now := time.Unix(0, 0)
@@ -111,7 +111,7 @@
 		t.Fatal("requests from a peer without a newer version")
 	}
 	if peers := c.PeersToAnnounce(); len(peers) != 1 || peers[0].Node != "n2" {
-		t.Fatalf("forwards to %+v, want the peer with an older version", peers)
+		t.Fatalf("announces to %+v, want the peer with an older version", peers)
 	}
 	c.SetPeers([]distribute.Peer{{Node: "n1", Version: 6}})
 	if p, ok := c.NewerPeer(now.Add(time.Minute)); !ok || p.Node != "n1" {
@@ -125,7 +125,7 @@
 	}
 }
 
-// Guards against forwarding that reaches only part of the nodes. The others learn
+// Guards against announcements that reach only part of the nodes. The others learn
 // of the version through membership, which takes seconds in a large fleet.
 func TestPushReachesNearlyAllNodes(t *testing.T) {
 	const nodes, seeds = 900, 20
