--- a/version/membership/sim_test.go
+++ b/version/membership/sim_test.go
@@ -158,17 +158,15 @@
 func (f *fleet) countContent(m *Message, size int) {
 	reports, targets, state := 0, 0, 0
 	for _, d := range m.Deltas {
-		all := deltaBytes(&d)
-		reportBytes := 0
+		all, reportBytes := deltaBytes(&d), 0
 		if d.Reports != nil {
 			reportBytes = len(d.Reports.Data)
 		}
-		reports += reportBytes
 		d.Reports = nil
-		withTargets := deltaBytes(&d)
+		targetBytes := deltaBytes(&d)
 		d.Meta, d.Targets, d.HasTargets, d.Patch = nil, nil, false, nil
-		targets += withTargets - deltaBytes(&d)
-		state += all - reportBytes - (withTargets - deltaBytes(&d))
+		targetBytes -= deltaBytes(&d)
+		reports, targets, state = reports+reportBytes, targets+targetBytes, state+all-reportBytes-targetBytes
 	}
 	digests := 8 * len(m.Buckets)
 	for _, v := range m.Versions {
@@ -237,10 +235,8 @@
 	}
 }
 
-func domainOf(i int) string { return fmt.Sprintf("%c%d", 'a'+i%3, i/3%3) }
-
 func newRunningFleet(seed uint64, n, targets int, o Options) *fleet {
-	return newFleetInDomains(seed, n, targets, o, domainOf)
+	return newFleetInDomains(seed, n, targets, o, domainsOf(9))
 }
 
 func newFleetInDomains(seed uint64, n, targets int, o Options, domainOf func(int) string) *fleet {
