--- a/connection/membudget/budget.go
+++ b/connection/membudget/budget.go
@@ -183,9 +183,6 @@
 	return Stats{Bytes: b.options.Bytes, Used: b.used, Connections: b.holders, Reached: b.reached, Refused: b.refused, Evicted: b.evicted}
 }
 
-// Reached is the field Reached of Stats.
-func (b *Budget) Reached() bool { return b.reached }
-
 func sizeClass(bytes int64) int { return min(bits.Len64(uint64(max(0, bytes))), sizeClasses-1) }
 
 func (b *Budget) link(h *Holder) {
--- a/connection/membudget/doc.go
+++ b/connection/membudget/doc.go
@@ -1,5 +1,5 @@
-// Package membudget decides which connections may hold memory. It answers clients that
-// make a process hold more memory than its host has: many requests with thousands of
+// Package membudget decides which connections may hold memory. It guards against clients
+// that make a process hold more memory than its host has: many requests with thousands of
 // short header lines, heads and bodies without an end, responses that nobody reads, and
 // thousands of connections that send nothing.
 //
--- a/process/node/memory.go
+++ b/process/node/memory.go
@@ -47,8 +47,8 @@
 	ordinaryHeadLines = 64
 )
 
-// sendBufferBytes bounds what the kernel holds of a response that is not read. It
-// doubles this value. 10 Mbit/s to 200 Mbit/s over 4 ms need 100 KB.
+// sendBufferBytes bounds what the kernel, which doubles this value, holds of a response
+// that is not read. 200 Mbit/s over a round trip of 4 ms need 100 KB.
 const sendBufferBytes = 128 << 10
 
 // headCost returns the estimate for head bytes with some line ends.
@@ -134,18 +134,17 @@
 // logChange writes a line when the budget is reached or no longer reached. The caller
 // holds m.mu.
 func (m *memory) logChange() {
-	reached := m.budget.Reached()
-	if reached == m.logged {
+	s := m.budget.Stats()
+	if s.Reached == m.logged {
 		return
 	}
 	now := time.Now()
 	if now.Sub(m.loggedAt) < changeLogInterval {
 		return
 	}
-	m.logged, m.loggedAt = reached, now
-	s := m.budget.Stats()
+	m.logged, m.loggedAt = s.Reached, now
 	event, text := m.log.Info(), "node: the memory budget for connections is no longer reached"
-	if reached {
+	if s.Reached {
 		event, text = m.log.Warn(), "node: the memory budget for connections is reached, the largest are closed or refused"
 	}
 	event.Int64("used_bytes", s.Used).Int64("budget_bytes", s.Bytes).Int("connections", s.Connections).
@@ -239,7 +238,7 @@
 // refuseRead ends a connection whose client was refused memory. In a head, the client
 // gets a response: all earlier responses were sent before it was read.
 func (c *limitedConn) refuseRead(inHead bool) error {
-	if inHead && c.memory != nil {
+	if inHead {
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(time.Millisecond)) // the write must not wait for the client
 		_, _ = c.Conn.Write(c.memory.refusal)
 		if tcp, ok := c.Conn.(*net.TCPConn); ok {
@@ -267,10 +266,10 @@
 		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) || c.writeTimeout <= 0 {
 			return written, err
 		}
+		if n == 0 && c.memory != nil {
+			c.memory.slowReaders.Add(1)
+		}
 		if n == 0 || !c.writeMayGoOn(deadline) {
-			if n == 0 && c.memory != nil {
-				c.memory.slowReaders.Add(1)
-			}
 			return written, err
 		}
 	}
