process/control: guard decides once instead of keeping a state

The state of a guarded connection repeated what its once and its channel already say: only the first call or Close decides, and Read waits for that.

--- a/process/control/guard.go
+++ b/process/control/guard.go
@@ -31,42 +31,35 @@
 	errRefused   = errors.New("control: connection without the fleet token")
 )
 
-// guardState is what is known of the client of a guardedConn.
-type guardState int
-
-const (
-	guardHandshake guardState = iota // its first call is not complete
-	guardPending                     // the first call awaits the check of the token
-	guardAccepted                    // the token was shown
-	guardRefused                     // the first call lacked the token
-)
-
 // guardedConn holds the bytes of a connection back until its first call has shown the
-// fleet token. It answers clients without the token that send messages which are huge
-// or have no end: drpc buffers 2 MiB of them, and decodes metadata, before it calls
+// fleet token. It guards against clients without the token whose messages are huge or
+// have no end: drpc buffers 2 MiB of them, and decodes metadata, before it calls
 // the handler. Of such a client only the handshake is held. Reads are not concurrent.
 type guardedConn struct {
 	net.Conn
-	onAccept func() // called once, when the token was shown
+	since    time.Time // of the accept
+	onAccept func()    // called once, when the token was shown
 
-	held     []byte        // bytes read and not yet passed on
-	passable int           // bytes of held that may be passed on
-	decided  chan struct{} // closed when the first call was checked, or at the end
-	once     sync.Once
+	// Only Read uses these.
+	handshakeRead bool   // the first call is complete
+	held          []byte // bytes read and not yet passed on
+	passable      int    // bytes of held that may be passed on
 
-	mu    sync.Mutex
-	state guardState
+	once     sync.Once     // closes decided
+	decided  chan struct{} // closed when the first call was checked, or by Close
+	accepted bool          // the first call showed the token; valid after decided
 }
 
-func newGuardedConn(conn net.Conn, deadline time.Time) *guardedConn {
-	_ = conn.SetReadDeadline(deadline) // fails only if the connection is closed
-	return &guardedConn{Conn: conn, decided: make(chan struct{}), onAccept: func() {}}
+func newGuardedConn(conn net.Conn, handshakeTimeout time.Duration) *guardedConn {
+	now := time.Now()
+	_ = conn.SetReadDeadline(now.Add(handshakeTimeout)) // fails only if the connection is closed
+	return &guardedConn{Conn: conn, since: now, decided: make(chan struct{})}
 }
 
 // Read passes on the first call without its message, then nothing until the token was
 // checked, then everything or nothing.
 func (c *guardedConn) Read(p []byte) (int, error) {
-	if c.current() == guardHandshake {
+	if !c.handshakeRead {
 		if err := c.readHandshake(); err != nil {
 			return 0, err
 		}
@@ -75,7 +68,7 @@
 		return c.pass(p, c.passable), nil
 	}
 	<-c.decided
-	if c.current() != guardAccepted {
+	if !c.accepted {
 		c.discard()
 		return 0, errRefused
 	}
@@ -104,8 +97,7 @@
 			return err
 		}
 		if end > 0 {
-			c.passable = end
-			c.setState(guardPending)
+			c.passable, c.handshakeRead = end, true
 			return nil
 		}
 		if len(c.held) == cap(c.held) {
@@ -145,22 +137,20 @@
 
 // decide notes whether a call showed the token. Only the first one counts.
 func (c *guardedConn) decide(authorized bool) {
-	c.mu.Lock()
-	if c.state != guardPending {
-		c.mu.Unlock()
-		return
-	}
-	c.state = guardRefused
-	deadline := time.Now().Add(refusedLinger)
-	if authorized {
-		c.state, deadline = guardAccepted, time.Time{}
-	}
-	c.mu.Unlock()
-	_ = c.SetReadDeadline(deadline) // fails only if the connection is closed
-	if authorized {
+	first := false
+	c.once.Do(func() {
+		first = true
+		c.accepted = authorized
+		deadline := time.Time{}
+		if !authorized {
+			deadline = time.Now().Add(refusedLinger)
+		}
+		_ = c.SetReadDeadline(deadline) // fails only if the connection is closed
+		close(c.decided)
+	})
+	if first && authorized {
 		c.onAccept()
 	}
-	c.once.Do(func() { close(c.decided) })
 }
 
 // discard reads what a refused client still sends, until its end or the deadline.
@@ -179,28 +169,10 @@
 	return c.Conn.Close()
 }
 
-func (c *guardedConn) current() guardState {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.state
-}
-
-func (c *guardedConn) setState(s guardState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.state = s
-}
-
-// unauthenticatedConn is a connection on which the token was not shown.
-type unauthenticatedConn struct {
-	conn  net.Conn
-	since time.Time
-}
-
-func (s *Server) addUnauthenticated(conn net.Conn) *list.Element {
+func (s *Server) addUnauthenticated(c *guardedConn) *list.Element {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.unauthenticated.PushBack(unauthenticatedConn{conn, time.Now()})
+	return s.unauthenticated.PushBack(c)
 }
 
 // removeUnauthenticated has no effect the second time.
@@ -216,10 +188,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	oldest := s.unauthenticated.Front()
-	if oldest == nil || time.Since(oldest.Value.(unauthenticatedConn).since) < minAge {
+	if oldest == nil {
+		return false
+	}
+	c := oldest.Value.(*guardedConn)
+	if time.Since(c.since) < minAge {
 		return false
 	}
 	s.unauthenticated.Remove(oldest)
-	_ = oldest.Value.(unauthenticatedConn).conn.Close() // its server may have closed it
+	_ = c.Close() // its server may have closed it
 	return true
 }
--- a/process/control/server.go
+++ b/process/control/server.go
@@ -100,7 +100,7 @@
 	server  *drpcserver.Server
 
 	mu              sync.Mutex
-	unauthenticated list.List // connections without the fleet token, the oldest first
+	unauthenticated list.List // *guardedConn that have not shown the fleet token, the oldest first
 }
 
 // NewServer returns a server. It fails without a token.
@@ -175,7 +175,7 @@
 }
 
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
-	guarded := newGuardedConn(conn, time.Now().Add(s.options.HandshakeTimeout))
+	guarded := newGuardedConn(conn, s.options.HandshakeTimeout)
 	counted := &countedConn{Conn: guarded, guarded: guarded}
 	element := s.addUnauthenticated(guarded)
 	defer s.removeUnauthenticated(element)
