--- a/process/node/listen.go
+++ b/process/node/listen.go
@@ -91,8 +91,9 @@
 	writeTimeout time.Duration // 0: no bound
 	control      bool          // not HTTP: a connection has a fixed charge
 	// closeWaiting closes the connection that has waited for a request for the longest
-	// time, unless that is less than headerWait. It may be nil.
-	closeWaiting func()
+	// time, unless that is less than headerWait. It reports whether it closed one. It may
+	// be nil.
+	closeWaiting func() bool
 	// closeNext makes one more response close its connection.
 	closeNext atomic.Bool
 }
@@ -146,8 +147,8 @@
 	}
 	defer l.closeNext.Store(false)
 	for attempts := 0; ; attempts++ {
-		if l.closeWaiting != nil {
-			l.closeWaiting()
+		if l.closeWaiting != nil && l.closeWaiting() && l.memory != nil {
+			l.memory.replaced.Add(1)
 		}
 		if attempts%closeNextEvery == 0 {
 			l.closeNext.Store(true)
@@ -388,21 +389,21 @@
 }
 
 // closeWaiting closes the connection that has waited for a complete head for the
-// longest time.
-func (s *httpService) closeWaiting() {
+// longest time. It reports whether there was one.
+func (s *httpService) closeWaiting() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if first := s.waiting.Front(); first != nil {
-		c := first.Value.(*limitedConn)
-		if time.Since(c.waitingSince) < headerWait {
-			return // its request may be on its way
-		}
-		s.setWaiting(c, false)
-		_ = c.Conn.Close() // its server may have closed it
-		if c.memory != nil {
-			c.memory.replaced.Add(1)
-		}
+	first := s.waiting.Front()
+	if first == nil {
+		return false
 	}
+	c := first.Value.(*limitedConn)
+	if time.Since(c.waitingSince) < headerWait {
+		return false // its request may be on its way
+	}
+	s.setWaiting(c, false)
+	_ = c.Conn.Close() // its server may have closed it
+	return true
 }
 
 // setWaiting puts a connection at the end of the list of those that wait for a
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -124,11 +124,7 @@
 		return nil, err
 	}
 	node.control = server
-	node.listeners.peerControl.closeWaiting = func() {
-		if server.CloseUnauthenticated(headerWait) {
-			node.memory.replaced.Add(1)
-		}
-	}
+	node.listeners.peerControl.closeWaiting = func() bool { return server.CloseUnauthenticated(headerWait) }
 	node.supervise()
 	return node, nil
 }
