process/node: one function ends the handover of a drain

The start of a drain is only a field; it was also passed as an argument. The goroutine and channel of the handover are a timer and a function that runs once. A node without a handover refuses work before Drain returns, as its comment says; its gate was told by the goroutine before. A failed node is a context with a cause, which replaces a context and a pointer to the error.

--- a/process/node/drain.go
+++ b/process/node/drain.go
@@ -25,64 +25,49 @@
 	if n.draining.Swap(true) {
 		return
 	}
-	startedAt := n.now()
-	n.record(record.Record{At: startedAt, Node: n.options.Settings.Node, Kind: record.KindDrain,
+	n.drainStartedAt = n.now()
+	n.record(record.Record{At: n.drainStartedAt, Node: n.options.Settings.Node, Kind: record.KindDrain,
 		Change: &record.Change{Subject: n.options.Settings.Node, To: "leaving", Why: fmt.Sprintf("drain requested with %d requests at the gate and %d at the entry", n.gate.Running(), n.entry.Active())}})
 	n.entry.Drain()
-	n.drainStartedAt = startedAt
-	n.setDrainTimes(startedAt)
-	go n.drain(startedAt)
+	n.setDrainTimes(n.drainStartedAt)
+	leave := sync.OnceFunc(n.leave)
+	// A node that fails has no handover: another process may announce its targets, or
+	// their state is not known.
+	if n.options.Settings.DrainHandover <= 0 || n.failed.Err() != nil {
+		leave()
+	}
+	go n.drain(leave)
 }
 
 // Draining reports whether the node drains.
 func (n *Node) Draining() bool { return n.draining.Load() }
 
-func (n *Node) drain(startedAt time.Time) {
+// drain calls leave when the handover ends. A pause of the process uses up the handover,
+// unlike the notice: the end of the drain does not move with it.
+func (n *Node) drain(leave func()) {
 	defer func() { n.stop(n.endCause()) }()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	handoverEnded := n.startHandover(ctx)
+	defer time.AfterFunc(n.options.Settings.DrainHandover, leave).Stop()
+	defer context.AfterFunc(n.failed, leave)()
 	n.drainTimer.start(n.options.Settings.DrainTimeout, n.endWaitingRequests, cancel)
 	defer n.drainTimer.stop()
 	waitDrainNotice(ctx, n.options.Settings.DrainNotice)
-	<-handoverEnded
+	leave() // the drain timeout may end before the handover
 	// Callers first: their requests may run at this node's own gate.
 	n.shutdown(ctx, n.servers.caller)
 	n.shutdown(ctx, n.servers.peerData)
 	n.fleet.announceLeft()
-	n.log.Info().Msgf("node: drained in %s", n.now().Sub(startedAt).Round(time.Millisecond))
+	n.log.Info().Msgf("node: drained in %s", n.now().Sub(n.drainStartedAt).Round(time.Millisecond))
 }
 
-// startHandover lets the gate accept work that ends in time for the handover period, after
-// which it refuses all work and the other nodes learn that this one leaves. It returns a
-// channel that is closed then. A node that fails has no handover: another process may
-// announce its targets, or their state is not known.
-//
-// A pause of the process uses up the handover, unlike the notice: the end of the drain
-// does not move with it.
-func (n *Node) startHandover(ctx context.Context) <-chan struct{} {
-	ended := make(chan struct{})
-	handover := n.options.Settings.DrainHandover
-	if handover <= 0 || n.noHandover.Err() != nil {
-		n.gate.DrainAll()
-		n.fleet.announceLeaving()
-		close(ended)
-		return ended
-	}
-	go func() {
-		defer close(ended)
-		timer := time.NewTimer(handover)
-		defer timer.Stop()
-		select {
-		case <-timer.C:
-		case <-n.noHandover.Done():
-		case <-ctx.Done():
-		}
-		n.fleet.announceLeaving()
-		n.gate.DrainAll()
+// leave informs the other nodes and makes the gate refuse all work.
+func (n *Node) leave() {
+	n.fleet.announceLeaving()
+	n.gate.DrainAll()
+	if n.options.Settings.DrainHandover > 0 {
 		n.log.Info().Msgf("node: handover ended after %s, leaving", n.now().Sub(n.drainStartedAt).Round(time.Millisecond))
-	}()
-	return ended
+	}
 }
 
 // maxSignalDelay is the time between a signal and the drain that it starts, on a host
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -82,9 +82,8 @@
 	drainTimer   drainTimer
 	// drainStartedAt is set before drainTimer starts, and constant then.
 	drainStartedAt time.Time
-	noHandover     context.Context // ends when the node fails
-	endHandover    context.CancelFunc
-	failure        atomic.Pointer[error] // why the node drains, if nobody asked for it
+	failed         context.Context // ends when the node cannot continue, with the reason as its cause
+	setFailed      context.CancelCauseFunc
 }
 
 // New binds the listeners of a node. Serve must be called to run it.
@@ -106,7 +105,7 @@
 		return nil, err
 	}
 	node.runContext, node.stop = context.WithCancelCause(context.Background())
-	node.noHandover, node.endHandover = context.WithCancel(context.Background())
+	node.failed, node.setFailed = context.WithCancelCause(context.Background())
 	node.buildTelemetry()
 	node.buildRoles()
 	node.client = control.NewClient(control.ClientOptions{Token: o.Settings.FleetToken, Meter: node.meter, Timeout: controlCallTimeout})
@@ -236,7 +235,6 @@
 	a := n.Addresses()
 	n.log.Info().Str("caller", a.Caller).Str("peer_data", a.PeerData).Str("peer_control", a.PeerControl).
 		Str("announce", a.Announce).Str("admin", a.Admin).Msg("node: listening")
-	defer n.endHandover()
 	stopDrain := context.AfterFunc(ctx, n.Drain)
 	defer stopDrain()
 	err := n.supervisor.Serve(n.runContext)
@@ -254,15 +252,14 @@
 // fail drains the node and makes Serve return err. Running requests finish.
 func (n *Node) fail(err error) {
 	n.log.Error().Err(err).Msg("node: cannot continue, draining")
-	n.failure.CompareAndSwap(nil, &err)
-	n.endHandover()
+	n.setFailed(err)
 	n.Drain()
 }
 
 // endCause returns why the node ends after its drain.
 func (n *Node) endCause() error {
-	if err := n.failure.Load(); err != nil {
-		return *err
+	if err := context.Cause(n.failed); err != nil {
+		return err
 	}
 	return errDrained
 }
