process/node: address of the metrics listener in the first log line

running.md says that this line names all addresses. The tests with untrusted clients start their node like all others now and need no reserved port.

--- a/cmd/hyssopsilld/handover_test.go
+++ b/cmd/hyssopsilld/handover_test.go
@@ -12,12 +12,10 @@
 // and against a node that was paused until after its handover and accepts work.
 func TestReloadAndPauseInHandover(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, 2, false)
+	f := newFleet(t, 0, false)
+	n1 := f.addNode("n1", "d1", false, `drain_notice = "4s"`, `drain_handover = "3s"`, `drain_timeout = "30s"`)
+	n2 := f.addNode("n2", "d2", false)
 	f.publish(testConfig)
-	n1, n2 := f.nodes[0], f.nodes[1]
-	n1.settings = "drain_notice = \"4s\"\ndrain_handover = \"3s\"\ndrain_timeout = \"30s\""
-	n1.signal(syscall.SIGTERM)
-	f.restart(n1)
 	t1 := f.addTarget(n1, "t1", "shop")
 	f.waitReady("t1")
 	eventually(t, 10*time.Second, "n2 reaches t1", func() bool { return n2.sendRequest("GET", "/kits", "").status == 200 })
--- a/cmd/hyssopsilld/harness_test.go
+++ b/cmd/hyssopsilld/harness_test.go
@@ -136,7 +136,7 @@
 	caller, data, control, announce, admin string
 	proxy                                  *soak.Proxy // between the other nodes and this node's gate; may be nil
 	domain                                 string
-	settings                               string // further lines of the settings
+	settings                               string // further lines of the settings, with dotted keys
 }
 
 type targetProcess struct {
@@ -155,10 +155,10 @@
 	return f
 }
 
-func (f *fleet) addNode(name, domain string, withProxy bool) *nodeProcess {
+func (f *fleet) addNode(name, domain string, withProxy bool, settings ...string) *nodeProcess {
 	f.t.Helper()
 	any := "127.0.0.1:0"
-	n := &nodeProcess{caller: any, data: any, control: any, announce: any, admin: any, domain: domain, name: name}
+	n := &nodeProcess{caller: any, data: any, control: any, announce: any, admin: any, domain: domain, name: name, settings: strings.Join(settings, "\n")}
 	if withProxy {
 		proxy, err := soak.NewProxy()
 		if err != nil {
@@ -191,16 +191,14 @@
 fleet_token = %q
 log_url = %q
 seeds = [%s]
+listen.caller = %q
+listen.peer_data = %q
+listen.peer_control = %q
+listen.announce = %q
+listen.admin = %q
+advertise.peer_data = %q
 %s
-[listen]
-caller = %q
-peer_data = %q
-peer_control = %q
-announce = %q
-admin = %q
-[advertise]
-peer_data = %q
-`, n.name, n.domain, fleetToken, f.logURL, strings.Join(seeds, ", "), n.settings, n.caller, n.data, n.control, n.announce, n.admin, advertise))
+`, n.name, n.domain, fleetToken, f.logURL, strings.Join(seeds, ", "), n.caller, n.data, n.control, n.announce, n.admin, advertise, n.settings))
 	n.process = startProcess(f.t, n.name, "hyssopsilld", "run", "--settings", n.file)
 	for key, address := range map[string]*string{"caller": &n.caller, "peer_data": &n.data, "peer_control": &n.control,
 		"announce": &n.announce, "admin": &n.admin} {
--- a/cmd/hyssopsilld/untrusted_test.go
+++ b/cmd/hyssopsilld/untrusted_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -57,38 +56,12 @@
 func startUntrustedNode(t *testing.T) *untrustedNode {
 	t.Helper()
 	f := newFleet(t, 0, false)
-	reserved, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	metrics := reserved.Addr().String()
-	_ = reserved.Close()
-	n := &nodeProcess{name: "n1", domain: "d1", file: filepath.Join(t.TempDir(), "n1.toml")}
-	writeFile(t, n.file, fmt.Sprintf(`node = "n1"
-domain = "d1"
-fleet_token = %q
-log_url = %q
-[listen]
-caller = "127.0.0.1:0"
-peer_data = "127.0.0.1:0"
-peer_control = "127.0.0.1:0"
-announce = "127.0.0.1:0"
-admin = "127.0.0.1:0"
-metrics = %q
-[limits]
-connections = %d
-memory = "%dKiB"
-`, fleetToken, f.logURL, metrics, untrustedConnections, untrustedHostKiB))
-	n.process = startProcess(t, n.name, "hyssopsilld", "run", "--settings", n.file)
-	for key, address := range map[string]*string{"caller": &n.caller, "peer_data": &n.data, "peer_control": &n.control,
-		"announce": &n.announce, "admin": &n.admin} {
-		*address = n.awaitOutput(t, `"`+key+`":"([^"]+)"`)
-	}
-	f.nodes = append(f.nodes, n)
+	n := f.addNode("n1", "d1", false, `listen.metrics = "127.0.0.1:0"`,
+		fmt.Sprintf("limits.connections = %d", untrustedConnections), fmt.Sprintf(`limits.memory = "%dKiB"`, untrustedHostKiB))
 	f.publish(testConfig)
 	target := f.addTarget(n, "t1", "shop")
 	f.waitReady("t1")
-	return &untrustedNode{nodeProcess: n, target: target, metrics: metrics}
+	return &untrustedNode{nodeProcess: n, target: target, metrics: n.awaitOutput(t, `"metrics":"([^"]+)"`)}
 }
 
 // untrustedClient sends what one client sends on its connection. It returns when it
--- a/process/node/listen.go
+++ b/process/node/listen.go
@@ -62,10 +62,14 @@
 }
 
 func (l *listeners) addresses() settings.Listen {
-	return settings.Listen{
+	a := settings.Listen{
 		Caller: l.caller.Addr().String(), PeerData: l.peerData.Addr().String(),
 		PeerControl: l.peerControl.Addr().String(), Announce: l.announce.Addr().String(), Admin: l.admin.Addr().String(),
 	}
+	if l.metrics != nil {
+		a.Metrics = l.metrics.Addr().String()
+	}
+	return a
 }
 
 // limitConnections bounds the open connections of a listener. Accept waits
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -234,7 +234,7 @@
 	defer func() { _ = n.client.Close() }() // all calls have ended
 	a := n.Addresses()
 	n.log.Info().Str("caller", a.Caller).Str("peer_data", a.PeerData).Str("peer_control", a.PeerControl).
-		Str("announce", a.Announce).Str("admin", a.Admin).Msg("node: listening")
+		Str("announce", a.Announce).Str("admin", a.Admin).Str("metrics", a.Metrics).Msg("node: listening")
 	stopDrain := context.AfterFunc(ctx, n.Drain)
 	defer stopDrain()
 	err := n.supervisor.Serve(n.runContext)
