--- a/connection/membudget/budget.go
+++ b/connection/membudget/budget.go
@@ -106,7 +106,7 @@
 	if evictable && !h.evictable {
 		b.link(h)
 	}
-	b.noteEnd()
+	b.clearReached()
 	d.Admitted = true
 	return d
 }
@@ -168,10 +168,11 @@
 		b.pending--
 	}
 	h.bytes, h.open, h.closing = 0, false, false
-	b.noteEnd()
+	b.clearReached()
 }
 
-func (b *Budget) noteEnd() {
+// clearReached ends the state of a reached budget once little is used.
+func (b *Budget) clearReached() {
 	connections := b.options.Connections
 	if float64(b.used) <= endShare*float64(b.options.Bytes) && (connections == 0 || float64(b.holders) <= endShare*float64(connections)) {
 		b.reached = false
