--- a/process/node/listen.go
+++ b/process/node/listen.go
@@ -92,7 +92,7 @@
 	closeOnce sync.Once
 
 	memory       *memory       // nil: no bound
-	writeTimeout time.Duration // 0: no bound
+	writeTimeout time.Duration // within which a client must read something of a response; 0: no bound
 	control      bool          // not HTTP: a connection has a fixed charge
 	// closeWaiting closes the connection that has waited for a request for the longest
 	// time, unless that is less than headerWait. It reports whether it closed one. It may
@@ -112,7 +112,7 @@
 			<-l.slots
 			return nil, err
 		}
-		c := &limitedConn{Conn: conn, release: func() { <-l.slots }, headerSince: time.Now(), memory: l.memory, writeTimeout: l.writeTimeout, control: l.control}
+		c := &limitedConn{Conn: conn, listener: l, headerSince: time.Now()}
 		c.holder.Value = c
 		if l.control {
 			c.charge.head = unauthenticatedBytes
@@ -202,8 +202,8 @@
 // way or runs, so that a shutdown ends only reads that wait for a further request.
 type limitedConn struct {
 	net.Conn
+	listener    *limitedListener
 	releaseOnce sync.Once
-	release     func()
 
 	mu           sync.Mutex
 	phase        connPhase
@@ -213,12 +213,9 @@
 	// that the server sets. It is 0 before the server parses the next request.
 	idleDeadlines int
 
-	memory        *memory
-	control       bool // not HTTP: its charge is fixed
 	holder        membudget.Holder
 	charge        connCharge
-	writeTimeout  time.Duration // within which the client must read something of a response
-	writeDeadline time.Time     // set by the handler
+	writeDeadline time.Time // set by the handler
 
 	// The lock of the service protects these.
 	waiting      *list.Element // in the service's list of connections without a request
@@ -236,14 +233,14 @@
 
 func (c *limitedConn) Close() error {
 	c.releaseOnce.Do(func() {
-		c.memory.release(c)
-		c.release()
+		c.listener.memory.release(c)
+		<-c.listener.slots
 	})
 	return c.Conn.Close()
 }
 
 func (c *limitedConn) Read(p []byte) (int, error) {
-	if c.control {
+	if c.listener.control {
 		return c.Conn.Read(p)
 	}
 	readsBody := c.beforeRead(len(p))
@@ -267,10 +264,10 @@
 func (c *limitedConn) beforeRead(size int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.memory == nil || c.phase != phaseRequest || size <= 1 {
+	if c.listener.memory == nil || c.phase != phaseRequest || size <= 1 {
 		return false
 	}
-	c.memory.update(c, c.charge.total(), true) // the charge does not grow
+	c.listener.memory.update(c, c.charge.total(), true) // the charge does not grow
 	return true
 }
 
@@ -286,12 +283,12 @@
 	if len(p) > 0 {
 		c.allowReads()
 	}
-	if c.memory == nil {
+	if c.listener.memory == nil {
 		return false, true
 	}
 	inHead = c.phase != phaseRequest
 	if changed := c.charge.noteRead(p, size, inHead, first && c.idleDeadlines > 0); changed || readsBody {
-		return inHead, c.memory.update(c, c.charge.total(), inHead)
+		return inHead, c.listener.memory.update(c, c.charge.total(), inHead)
 	}
 	return inHead, true
 }
@@ -328,7 +325,7 @@
 func (c *limitedConn) setPeer() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.memory.update(c, c.charge.total(), false) // the charge does not grow
+	c.listener.memory.update(c, c.charge.total(), false) // the charge does not grow
 }
 
 func (c *limitedConn) setIdle() {
@@ -336,7 +333,7 @@
 	defer c.mu.Unlock()
 	c.phase, c.idleDeadlines = phaseIdle, 2
 	c.charge.endRequest()
-	c.memory.update(c, c.charge.total(), true) // the charge does not grow
+	c.listener.memory.update(c, c.charge.total(), true) // the charge does not grow
 }
 
 // setRequest notes that the header of a request is complete. The request may have come
@@ -346,7 +343,7 @@
 	defer c.mu.Unlock()
 	c.phase = phaseRequest
 	c.allowReads()
-	c.memory.update(c, c.charge.total(), false) // the charge does not grow
+	c.listener.memory.update(c, c.charge.total(), false) // the charge does not grow
 }
 
 // headerWait is how long a new connection may stay without a request, or a header
--- a/process/node/memory.go
+++ b/process/node/memory.go
@@ -240,7 +240,7 @@
 func (c *limitedConn) refuseRead(inHead bool) error {
 	if inHead {
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(time.Millisecond)) // the write must not wait for the client
-		_, _ = c.Conn.Write(c.memory.refusal)
+		_, _ = c.Conn.Write(c.listener.memory.refusal)
 		if tcp, ok := c.Conn.(*net.TCPConn); ok {
 			_ = tcp.CloseWrite()
 		}
@@ -252,7 +252,7 @@
 // Write sends a part of a response. It fails when the client reads nothing for the
 // write timeout of the listener.
 func (c *limitedConn) Write(p []byte) (int, error) {
-	if len(p) > serverBufferBytes && !c.control { // responses of peer_control go to nodes of the fleet
+	if len(p) > serverBufferBytes && !c.listener.control { // responses of peer_control go to nodes of the fleet
 		if !c.chargeResponse(int64(len(p))) {
 			return 0, &net.OpError{Op: "write", Net: "tcp", Err: errMemory}
 		}
@@ -263,11 +263,11 @@
 		deadline := c.armWrite()
 		n, err := c.Conn.Write(p[written:])
 		written += n
-		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) || c.writeTimeout <= 0 {
+		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) || c.listener.writeTimeout <= 0 {
 			return written, err
 		}
-		if n == 0 && c.memory != nil {
-			c.memory.slowReaders.Add(1)
+		if n == 0 && c.listener.memory != nil {
+			c.listener.memory.slowReaders.Add(1)
 		}
 		if n == 0 || !c.writeMayGoOn(deadline) {
 			return written, err
@@ -280,17 +280,17 @@
 func (c *limitedConn) chargeResponse(size int64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.memory.update(c, c.charge.total()+size, size > 0)
+	return c.listener.memory.update(c, c.charge.total()+size, size > 0)
 }
 
 // armWrite sets the deadline for the next part of a response and returns it.
 func (c *limitedConn) armWrite() time.Time {
-	if c.writeTimeout <= 0 {
+	if c.listener.writeTimeout <= 0 {
 		return time.Time{}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	deadline := time.Now().Add(c.writeTimeout)
+	deadline := time.Now().Add(c.listener.writeTimeout)
 	if !c.writeDeadline.IsZero() && c.writeDeadline.Before(deadline) {
 		deadline = c.writeDeadline
 	}
