--- a/process/control/guard_test.go
+++ b/process/control/guard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"os"
 	"runtime"
 	"testing"
 	"time"
@@ -51,17 +52,12 @@
 	}
 	for _, conn := range connections {
 		_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
-		if n, err := conn.Read(make([]byte, 1)); n > 0 || err == nil || isTimeout(err) {
+		if n, err := conn.Read(make([]byte, 1)); n > 0 || err == nil || os.IsTimeout(err) {
 			t.Fatalf("read %d bytes, %v, want the connection closed", n, err)
 		}
 	}
 }
 
-func isTimeout(err error) bool {
-	netError, ok := err.(net.Error)
-	return ok && netError.Timeout()
-}
-
 // Guards against connections of peers that are closed in favour of new ones, and
 // against clients without the fleet token that are not.
 func TestOnlyUnauthenticatedClientsAreClosedForOthers(t *testing.T) {
@@ -90,7 +86,7 @@
 		}
 	}
 	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
-	if _, err := conn.Read(make([]byte, 1)); err == nil || isTimeout(err) {
+	if _, err := conn.Read(make([]byte, 1)); err == nil || os.IsTimeout(err) {
 		t.Errorf("%v, want the connection closed", err)
 	}
 }
--- a/process/control/server.go
+++ b/process/control/server.go
@@ -195,20 +195,17 @@
 // HandleRPC checks the fleet token, runs the call and counts its bytes. A panic
 // of a handler fails the call and not the process.
 func (s *Server) HandleRPC(stream drpc.Stream, rpc string) (err error) {
+	counted := stream.Context().Value(connKey{}).(*countedConn) // set by serveConn
 	defer func() {
 		if recovered := recover(); recovered != nil {
 			err = drpcerr.WithCode(fmt.Errorf("control: %s: internal error", rpc), CodeInternal)
 			s.options.Log(fmt.Errorf("control: %s: panic: %v", rpc, recovered))
 		}
-		if counted, ok := stream.Context().Value(connKey{}).(*countedConn); ok {
-			in, out := counted.resetCounts()
-			s.options.Meter.add(s.knownMethod(rpc), in, out, err)
-		}
+		in, out := counted.resetCounts()
+		s.options.Meter.add(s.knownMethod(rpc), in, out, err)
 	}()
 	authorized := s.authorized(stream.Context())
-	if counted, ok := stream.Context().Value(connKey{}).(*countedConn); ok {
-		counted.guarded.decide(authorized)
-	}
+	counted.guarded.decide(authorized)
 	if !authorized {
 		return drpcerr.WithCode(fmt.Errorf("control: %s: fleet token missing or wrong", s.knownMethod(rpc)), CodeUnauthorized)
 	}
