--- a/process/node/handover_test.go
+++ b/process/node/handover_test.go
@@ -77,7 +77,9 @@
 			f := newHandoverFixture(t, handover, 5*time.Second)
 			signalledAt := time.Now()
 			f.n1.Drain()
-			eventually(t, "the gate learns of the drain", func() bool { ok, _ := f.n1.ready(); return !ok })
+			if ok, _ := f.n1.ready(); ok {
+				t.Error("a draining node is ready")
+			}
 			before := f.target.Counts().Requests
 			if handover > 0 {
 				f.expect(t, http.MethodGet, "/kits", 200)
@@ -86,6 +88,8 @@
 				if state := f.state(); state != membership.NodeAlive {
 					t.Errorf("n1 is %s to n2 in the handover", state)
 				}
+			} else {
+				f.expect(t, http.MethodGet, "/kits", 503)
 			}
 			resp, err := http.Get("http://" + f.n1.Addresses().Caller + "/kits")
 			if err != nil {
