--- /dev/null
+++ b/rapidtest/doc.go
@@ -0,0 +1,4 @@
+// Package rapidtest is the TestMain of packages with property tests.
+//
+// It imports only the standard library.
+package rapidtest
