--- a/demo/load.go
+++ b/demo/load.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/hyssopsill/hyssopsill/process/periodic"
 	"github.com/hyssopsill/hyssopsill/request/attempt"
 )
 
@@ -66,15 +67,8 @@
 	for _, k := range kinds {
 		untilNext[k] = random.ExpFloat64()
 	}
-	ticker := time.NewTicker(loadInterval)
-	defer ticker.Stop()
 	last, number := time.Now(), int64(0)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	_ = periodic.Run(ctx, loadInterval, func() { // the end of ctx is no failure
 		now := time.Now()
 		elapsed := min(now.Sub(last), maxLoadGap).Seconds()
 		last = now
@@ -93,7 +87,7 @@
 				l.wg.Go(func() { l.perform(ctx, c, node) })
 			}
 		}
-	}
+	})
 }
 
 // perform sends one call, with any resends, and records its last result.
--- a/demo/watch.go
+++ b/demo/watch.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/hyssopsill/hyssopsill/process/periodic"
 	"github.com/hyssopsill/hyssopsill/process/telemetry"
 	"github.com/hyssopsill/hyssopsill/request/invariant"
 	"github.com/hyssopsill/hyssopsill/version/config"
@@ -57,16 +58,8 @@
 	var wg sync.WaitGroup
 	for _, n := range w.nodes {
 		wg.Go(func() {
-			ticker := time.NewTicker(watchInterval)
-			defer ticker.Stop()
-			for {
-				w.poll(ctx, n)
-				select {
-				case <-ctx.Done():
-					return
-				case <-ticker.C:
-				}
-			}
+			w.poll(ctx, n)
+			_ = periodic.Run(ctx, watchInterval, func() { w.poll(ctx, n) }) // the end of ctx is no failure
 		})
 	}
 	wg.Wait()
--- a/process/control/configuration.go
+++ b/process/control/configuration.go
@@ -10,6 +10,7 @@
 
 	"github.com/hyssopsill/hyssopsill/eventlog"
 	"github.com/hyssopsill/hyssopsill/process/control/controlpb"
+	"github.com/hyssopsill/hyssopsill/process/periodic"
 	"github.com/hyssopsill/hyssopsill/request/invariant"
 	"github.com/hyssopsill/hyssopsill/version/config"
 	"github.com/hyssopsill/hyssopsill/version/distribute"
@@ -60,21 +61,14 @@
 // restarts the service.
 func (c *Configuration) Serve(ctx context.Context) error {
 	defer c.calls.open(ctx)()
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
 	var nextPeers time.Time
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
+	return periodic.Run(ctx, tickInterval, func() {
 		if now := time.Now(); !now.Before(nextPeers) {
 			nextPeers = now.Add(peersInterval)
 			c.setPeers()
 		}
 		c.withCore(func(core *distribute.Core) []distribute.Action { return core.Tick(time.Now()) })
-	}
+	})
 }
 
 func (c *Configuration) setPeers() {
--- a/process/control/documents.go
+++ b/process/control/documents.go
@@ -12,6 +12,7 @@
 
 	"github.com/hyssopsill/hyssopsill/eventlog"
 	"github.com/hyssopsill/hyssopsill/process/control/controlpb"
+	"github.com/hyssopsill/hyssopsill/process/periodic"
 	"github.com/hyssopsill/hyssopsill/request/invariant"
 	"github.com/hyssopsill/hyssopsill/request/record"
 	"github.com/hyssopsill/hyssopsill/version/config"
@@ -103,16 +104,7 @@
 func (d *Documents) Serve(ctx context.Context) error {
 	defer d.calls.open(ctx)()
 	d.calls.start(d.follow)
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-		d.tick(time.Now())
-	}
+	return periodic.Run(ctx, tickInterval, func() { d.tick(time.Now()) })
 }
 
 // tick fetches the document of a peer that has a newer one.
--- a/process/entry/account_quota.go
+++ b/process/entry/account_quota.go
@@ -10,6 +10,7 @@
 
 	"github.com/hyssopsill/hyssopsill/connection/quota"
 	"github.com/hyssopsill/hyssopsill/process/gate"
+	"github.com/hyssopsill/hyssopsill/process/periodic"
 	"github.com/hyssopsill/hyssopsill/request/attempt"
 	"github.com/hyssopsill/hyssopsill/version/config"
 	"github.com/hyssopsill/hyssopsill/version/membership"
@@ -119,16 +120,7 @@
 		return ctx.Err()
 	case <-time.After(rand.N(quota.ReportInterval)):
 	}
-	ticker := time.NewTicker(quota.ReportInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			e.accountQuota.tick()
-		}
-	}
+	return periodic.Run(ctx, quota.ReportInterval, e.accountQuota.tick)
 }
 
 func (q *accountQuota) tick() {
--- a/process/entry/tick.go
+++ b/process/entry/tick.go
@@ -15,6 +15,7 @@
 
 	"github.com/hyssopsill/hyssopsill/connection/health"
 	"github.com/hyssopsill/hyssopsill/process/gate"
+	"github.com/hyssopsill/hyssopsill/process/periodic"
 	"github.com/hyssopsill/hyssopsill/process/roundtrip"
 	"github.com/hyssopsill/hyssopsill/request/attempt"
 	"github.com/hyssopsill/hyssopsill/request/poison"
@@ -31,14 +32,8 @@
 
 // Serve runs the entry's periodic work until ctx ends.
 func (e *Entry) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for n := 0; ; n++ {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
+	n := 0
+	return periodic.Run(ctx, tickInterval, func() {
 		now := e.now()
 		e.mu.Lock()
 		changes := e.endAffectedAttempts(e.health.Tick(now))
@@ -51,7 +46,8 @@
 			e.probeWantedTargets(ctx, now)
 			e.client.CloseExpired(time.Now())
 		}
-	}
+		n++
+	})
 }
 
 // endAffectedAttempts ends the attempts that health changes affect, and returns
--- a/process/node/fleet.go
+++ b/process/node/fleet.go
@@ -11,6 +11,7 @@
 
 	"github.com/hyssopsill/hyssopsill/connection/health"
 	"github.com/hyssopsill/hyssopsill/process/control"
+	"github.com/hyssopsill/hyssopsill/process/periodic"
 	"github.com/hyssopsill/hyssopsill/request/attempt"
 	"github.com/hyssopsill/hyssopsill/request/poison"
 	"github.com/hyssopsill/hyssopsill/request/record"
@@ -85,17 +86,12 @@
 
 // Serve passes state between the roles and the membership until ctx ends.
 func (f *fleetView) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(viewInterval)
-	defer ticker.Stop()
-	for {
+	update := func() {
 		f.setLocal()
 		f.applyView()
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
 	}
+	update()
+	return periodic.Run(ctx, viewInterval, update)
 }
 
 // setLocal updates the membership with the state of this node.
--- /dev/null
+++ b/process/periodic/doc.go
@@ -0,0 +1,4 @@
+// Package periodic repeats work at an interval.
+//
+// It imports only the standard library.
+package periodic
