--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -24,7 +24,7 @@
 }
 
 func execution(targetID, work string, second float64) target.Execution {
-	return target.Execution{At: atSecond(second), Target: targetID, Method: "POST", Work: work, Request: attempt.RequestID("r-" + work)}
+	return target.Execution{At: atSecond(second), Target: targetID, Method: "POST", Work: work, Request: attempt.RequestID("r-" + work), Account: openAccount}
 }
 
 // compliantHistory returns a history without violations that comes close to the limits
@@ -52,10 +52,10 @@
 		},
 	}
 	for _, id := range []string{"t1", "t2"} {
-		h.Executions = append(h.Executions, target.Execution{At: atSecond(3), Target: id, Crash: "poison"})
+		h.Executions = append(h.Executions, target.Execution{At: atSecond(3), Target: id, Account: openAccount, Crash: "poison"})
 	}
 	for i := range 100 {
-		h.Executions = append(h.Executions, target.Execution{At: atSecond(4), Target: "t1", Request: attempt.RequestID(fmt.Sprint("g", i))})
+		h.Executions = append(h.Executions, target.Execution{At: atSecond(4), Target: "t1", Account: openAccount, Request: attempt.RequestID(fmt.Sprint("g", i))})
 	}
 	h.RateLimits = []RateLimit{{Target: "t4", From: atSecond(20), To: atSecond(30), Rate: 3}}
 	h.Executions = append(h.Executions, execution("t4", "", 21))
@@ -77,12 +77,7 @@
 	h.Calls = append(h.Calls, keyCall(removedKey, 52.4), keyCall(removedKey, 62.9), keyCall(addedKey, 55), refused)
 	h.Ends[0].PeakKiB = hostMemoryKiB
 	for i := range 39 { // a tenth of the first runs, and one per second for each node
-		h.Executions = append(h.Executions, target.Execution{At: atSecond(5), Target: "t2", Request: attempt.RequestID(fmt.Sprint("g", i))})
-	}
-	for i := range h.Executions {
-		if h.Executions[i].Account == "" {
-			h.Executions[i].Account = openAccount
-		}
+		h.Executions = append(h.Executions, target.Execution{At: atSecond(5), Target: "t2", Account: openAccount, Request: attempt.RequestID(fmt.Sprint("g", i))})
 	}
 	return h
 }
@@ -92,6 +87,7 @@
 	return Call{Node: "n2", Path: "/kits", Key: key, WrittenAt: atSecond(second), EndedAt: atSecond(second + 0.1), Status: 200, Outcome: attempt.Answered, Request: "key"}
 }
 
+// accountExecution returns an execution for the account.
 func accountExecution(targetID, work string, second float64, account string) target.Execution {
 	run := execution(targetID, work, second)
 	run.Account = account
@@ -112,10 +108,8 @@
 		guarantee Guarantee
 		violate   func(*History)
 	}{
-		{AtMostOnce, func(h *History) { h.Executions = append(h.Executions, accountExecution("t3", "a", 2, openAccount)) }},
-		{NotRun, func(h *History) {
-			h.Executions = append(h.Executions, accountExecution("t3", "refused", 2, openAccount))
-		}},
+		{AtMostOnce, func(h *History) { h.Executions = append(h.Executions, execution("t3", "a", 2)) }},
+		{NotRun, func(h *History) { h.Executions = append(h.Executions, execution("t3", "refused", 2)) }},
 		{OwnAnswer, func(h *History) {
 			h.Calls = append(h.Calls, Call{Path: "/kits", Status: 200, Mismatch: "response to another request"})
 		}},
@@ -130,7 +124,7 @@
 			h.Calls = append(h.Calls, Call{Node: "n1", Path: "/kits", WrittenAt: atSecond(7.9), ResentAt: atSecond(8.2), EndedAt: atSecond(8.3), Status: 200})
 		}},
 		{GracefulStop, func(h *History) { h.Stuck = []string{"n2"} }},
-		{Leaving, func(h *History) { h.Executions = append(h.Executions, accountExecution("t2", "d", 10.1, openAccount)) }},
+		{Leaving, func(h *History) { h.Executions = append(h.Executions, execution("t2", "d", 10.1)) }},
 		{Floor, func(h *History) { h.Views[0].Targets[0].Ejected = true }},
 		{ConfigForward, func(h *History) {
 			h.Views = append(h.Views, View{At: atSecond(3), Node: "n1", Incarnation: attempt.Incarnation{StartedMS: 2}, Version: 2})
@@ -144,7 +138,7 @@
 			h.Executions = append(h.Executions, target.Execution{At: atSecond(3), Target: "t3", Account: openAccount, Crash: "poison"})
 		}},
 		{Recovery, func(h *History) { h.Unready = "n2 is not ready" }},
-		{TargetRates, func(h *History) { h.Executions = append(h.Executions, accountExecution("t4", "", 25, openAccount)) }},
+		{TargetRates, func(h *History) { h.Executions = append(h.Executions, execution("t4", "", 25)) }},
 		{RequestedEnd, func(h *History) { h.Ends[0].Signal, h.Ends[0].Status = "hangup", -1 }}, // during its drain
 		{RequestedEnd, func(h *History) { h.Ends[0].Status = 3 }},                              // as after a second SIGTERM
 		{RequestedEnd, func(h *History) { h.Ends[0].TermAt = time.Time{} }},
@@ -201,19 +195,21 @@
 			t.Errorf("seed %d: the poison event is not at the end of the faults", seed)
 		}
 	}
-	// Poison, NodeReload, StoreRestore, StoreTurnAway, TargetRate, KeyChange and AccountSurge.
-	if drawnApart := 7 + len(hostileKinds); len(seen) != len(kindWeights)+drawnApart {
-		t.Errorf("only %d of %d kinds are drawn", len(seen), len(kindWeights)+drawnApart)
+	if kinds := len(kindWeights) + 1 + len(drawnApart); len(seen) != kinds { // with Poison
+		t.Errorf("only %d of %d kinds are drawn", len(seen), kinds)
 	}
 }
 
+// drawnApart are the kinds that have random sources of their own.
+var drawnApart = append([]Kind{NodeReload, StoreRestore, StoreTurnAway, TargetRate, KeyChange, AccountSurge}, hostileKinds...)
+
 // Guards against events drawn apart that change the other events of a seed, so that the
 // seeds that failed before plans had them no longer give the plans that failed.
 func TestReloadsLeaveOtherEvents(t *testing.T) {
 	hash := fnv.New64a()
 	for seed := range uint64(50) {
 		events := slices.DeleteFunc(NewPlan(seed, 4, 6, 10*time.Second).Events, func(e Event) bool {
-			return slices.Contains(append([]Kind{NodeReload, StoreRestore, StoreTurnAway, TargetRate, KeyChange, AccountSurge}, hostileKinds...), e.Kind)
+			return slices.Contains(drawnApart, e.Kind)
 		})
 		for i := range events {
 			events[i].Reloads, events[i].StartReloads = nil, nil
