--- a/soak/accounts.go
+++ b/soak/accounts.go
@@ -192,7 +192,7 @@
 func checkAccountLimits(h *History) (out []string) {
 	allowed := (accountRate*accountWindow.Seconds()+accountBurst)*(1+accountOverage) + accountSlack
 	for account, runs := range limitedRuns(h) {
-		most, from := busiestWindow(runs)
+		most, from := busiestWindow(runs, accountWindow)
 		if float64(most) > allowed {
 			out = append(out, fmt.Sprintf("%d requests of account %s ran in the %s from %s on, %.0f allowed", most, account, accountWindow, from.Sub(h.StartedAt), allowed))
 		}
@@ -200,11 +200,11 @@
 	return out
 }
 
-// busiestWindow returns the largest number of times in an account's window and the
-// start of that window. The times are in order.
-func busiestWindow(times []time.Time) (most int, from time.Time) {
+// busiestWindow returns the largest number of times in a window of the given length and
+// the start of that window. The times are in order.
+func busiestWindow(times []time.Time, window time.Duration) (most int, from time.Time) {
 	for i, at := range times {
-		end, _ := slices.BinarySearchFunc(times, at.Add(accountWindow), time.Time.Compare)
+		end, _ := slices.BinarySearchFunc(times, at.Add(window), time.Time.Compare)
 		if end-i > most {
 			most, from = end-i, at
 		}
--- a/soak/rates.go
+++ b/soak/rates.go
@@ -67,13 +67,14 @@
 				runs = append(runs, run.At)
 			}
 		}
+		if len(runs) == 0 {
+			continue
+		}
 		slices.SortFunc(runs, time.Time.Compare)
-		for i, at := range runs {
-			end, _ := slices.BinarySearchFunc(runs, at.Add(rateWindow), time.Time.Compare)
-			if allowed := 1.5*limit.Rate*rateWindow.Seconds() + 5; at.After(runs[0].Add(rateLearningTime)) && float64(end-i) > allowed {
-				out = append(out, fmt.Sprintf("target %s names %.0f requests/s and ran %d in %s, %.0f allowed", limit.Target, limit.Rate, end-i, rateWindow, allowed))
-				break
-			}
+		learned := runs[0].Add(rateLearningTime)
+		most, _ := busiestWindow(slices.DeleteFunc(runs, func(at time.Time) bool { return !at.After(learned) }), rateWindow)
+		if allowed := 1.5*limit.Rate*rateWindow.Seconds() + 5; float64(most) > allowed {
+			out = append(out, fmt.Sprintf("target %s names %.0f requests/s and ran %d in %s, %.0f allowed", limit.Target, limit.Rate, most, rateWindow, allowed))
 		}
 	}
 	return out
--- a/soak/report.go
+++ b/soak/report.go
@@ -50,7 +50,7 @@
 
 func newLimitReport(h *History) (r LimitReport) {
 	for _, runs := range limitedRuns(h) {
-		most, _ := busiestWindow(runs)
+		most, _ := busiestWindow(runs, accountWindow)
 		r.LimitedRuns, r.BusiestWindow = r.LimitedRuns+len(runs), max(r.BusiestWindow, most)
 	}
 	for i := range h.Calls {
