--- a/soak/accounts.go
+++ b/soak/accounts.go
@@ -20,8 +20,8 @@
 	accountRate     = 12 // requests/s; above the usual demand
 	accountBurst    = 10
 	limitedThink    = 80 * time.Millisecond // further time between requests of an account with a limit
-	usualDemand     = 10                    // requests/s of an account with a limit, at most
-	surgeFactor     = 6                     // demand of an account in a surge, as a multiple of its usual one
+	surgeRate       = 50                    // further requests/s of an account in a surge
+	surgeIdleConns  = 6                     // connections that a surge keeps to each node
 	maxSurges       = 2
 	minSurgeTime    = 4 * time.Second
 	surgeTimeRange  = 2 * time.Second
@@ -33,7 +33,7 @@
 	accountSlack   = 20
 
 	keyChangeTime   = 2500 * time.Millisecond // until nodes refuse the removed key
-	keyPauseMargin  = 3 * time.Second         // until a node that was paused does
+	keyPauseMargin  = 3 * time.Second         // until a node refuses it after a pause
 	keyChangeTries  = 5
 	addedKeyTimeout = 10 * time.Second
 
@@ -44,6 +44,7 @@
 	addedKey      = keyPrefix + "added"
 	removedCaller = limitedAccounts     // uses the removed key throughout
 	addedCaller   = limitedAccounts + 1 // uses the added key throughout
+	stableCaller  = callerCount - 1     // has no limit and a key that stays
 )
 
 // Pause records a time in which a node was stopped with SIGSTOP.
@@ -118,9 +119,9 @@
 	defer cancel()
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	client := &http.Client{Timeout: clientTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: surgeFactor, IdleConnTimeout: time.Minute}}
+	client := &http.Client{Timeout: clientTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: surgeIdleConns, IdleConnTimeout: time.Minute}}
 	defer client.CloseIdleConnections()
-	for i := 0; sleep(ctx, time.Second/((surgeFactor-1)*usualDemand)); i++ {
+	for i := 0; sleep(ctx, time.Second/surgeRate); i++ {
 		n := in.fleet.nodes[i%len(in.fleet.nodes)]
 		wg.Go(func() {
 			in.load.send(client, Call{Caller: account, Node: n.name, Method: http.MethodGet, Path: fmt.Sprintf("/kits?echo=s%d&work_ms=%d", i, workMS)}, n)
@@ -154,7 +155,7 @@
 // one request with the removed key.
 func (in *injector) useAddedKey() {
 	if in.history.KeysChangedAt.IsZero() {
-		return // the change was not published, as a note tells
+		return // no accounts, or the change was not published, which a note tells
 	}
 	client := &http.Client{Timeout: clientTimeout}
 	for i, n := range in.fleet.nodes {
@@ -213,7 +214,8 @@
 }
 
 // checkKeys compares the accounts of the calls with those that targets were told, and
-// looks for calls that a node served with the removed key.
+// looks for calls that a node served with the removed key and nodes that refuse the added
+// one.
 func checkKeys(h *History) (out []string) {
 	if !h.Plan.has(KeyChange) {
 		return nil
@@ -221,11 +223,12 @@
 	byRequest, byWork := map[attempt.RequestID]string{}, map[string]string{}
 	for i := range h.Calls {
 		c := &h.Calls[i]
-		if account := accountOfKey(c.Key); c.Request != "" {
+		account := accountOfKey(c.Key)
+		if c.Request != "" {
 			byRequest[c.Request] = account
 		}
 		if c.Work != "" {
-			byWork[workID(c)] = accountOfKey(c.Key)
+			byWork[workID(c)] = account
 		}
 		if c.servedWithRemovedKey(h) {
 			out = append(out, fmt.Sprintf("node %s served request %s with the removed key, written %s after the change was accepted", c.Node, c.Request, c.WrittenAt.Sub(h.KeysChangedAt)))
--- a/soak/client.go
+++ b/soak/client.go
@@ -60,12 +60,7 @@
 	if c.fleet.accounts && accountOfKey(keyOfCaller(callerID)) != openAccount {
 		minThink += limitedThink
 	}
-	for i := 0; ; i++ {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(minThink + time.Duration(random.Float64()*float64(thinkTimeRange))):
-		}
+	for i := 0; sleep(ctx, minThink+time.Duration(random.Float64()*float64(thinkTimeRange))); i++ {
 		if random.IntN(20) == 0 {
 			n = c.fleet.nodes[random.IntN(len(c.fleet.nodes))]
 		}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -73,9 +73,9 @@
 	nodes   []*node
 	targets []*targetProcess
 	client  *http.Client
-	// The configuration has accounts, and the settings the memory of the host, when the
-	// plan needs them.
-	accounts, memoryBound bool
+	// Parts that only some plans need.
+	accounts    bool // the configuration has accounts
+	memoryBound bool // the settings name the memory of the host
 
 	publishing  sync.RWMutex // held for reading by publishes that keep the keys
 	keysChanged bool         // whether configurations have the changed keys; guarded by publishing
@@ -109,7 +109,8 @@
 
 // startFleet starts all processes and waits until the nodes know all targets.
 func startFleet(ctx context.Context, o Options, plan *Plan) (*fleet, error) {
-	f := &fleet{options: o, accounts: plan.has(KeyChange), memoryBound: plan.has(hostileKinds...), client: &http.Client{Timeout: adminTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
+	f := &fleet{options: o, accounts: plan.has(KeyChange), memoryBound: plan.has(hostileKinds...),
+		client: &http.Client{Timeout: adminTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
 	var err error
 	if f.log, err = f.start("log", "hyssopsill-standin", "log", "--listen", anyPort); err != nil {
 		return f, err
--- a/soak/hostile.go
+++ b/soak/hostile.go
@@ -19,10 +19,10 @@
 	maxCrowds        = 3
 	minCrowdTime     = 2 * time.Second
 	crowdTimeRange   = 2 * time.Second
-	clientsPerPlace  = 50 // on each listener; with the largest heads these need more than the memory of a node
+	crowdClients     = 50 // on each listener; with the largest heads these need more than the memory of a node
 	slowByteInterval = time.Second
-	// hostMemoryKiB is the memory of a node's host in plans with hostile clients. The
-	// smallest hosts have 184 MB; a smaller one needs fewer clients.
+	// hostMemoryKiB is the memory of a node's host in plans with hostile clients. It is
+	// below the 184 MB of the smallest hosts, so that fewer clients suffice to exceed it.
 	hostMemoryKiB = 96 << 10
 	hostileHead   = "GET /kits?size=250000 HTTP/1.1\r\nHost: h\r\n" + attempt.HeaderAccountKey + ": " + stableKey + "\r\n"
 )
@@ -50,7 +50,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for _, address := range []string{n.caller, n.data, n.announce, n.admin} {
-		for i := range clientsPerPlace {
+		for i := range crowdClients {
 			wg.Go(func() {
 				conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
 				if err != nil {
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -254,7 +254,7 @@
 	sender := callers{fleet: in.fleet, record: func(Call) {}}
 	client := &http.Client{Timeout: clientTimeout}
 	for range poisonRequests {
-		sender.send(client, Call{Caller: callerCount - 1, Method: http.MethodGet, Path: "/kits?echo=" + text}, n)
+		sender.send(client, Call{Caller: stableCaller, Method: http.MethodGet, Path: "/kits?echo=" + text}, n)
 	}
 	for _, target := range in.fleet.targets {
 		if target.running() {
