connection/selection: the time of a start is an argument

Started used the time of the last Pick, but keyed orders and waiting requests start without one. With shared loads such a start was dated too early and did not count: a target with 3 running and 3 sent requests of 6 was a free slot (TestStartsWithoutPickCount, failed before).

--- a/bench/balance.go
+++ b/bench/balance.go
@@ -338,7 +338,7 @@
 	r.choose = func(r *balanceRun, e *balanceEntry) int {
 		s := selectors[e.index]
 		choice, _ := s.Pick(r.now, selection.Query{Service: "svc", RemoteCostFactor: r.remoteCost / 0.5}, func(string) health.State { return health.State{Weight: 1} })
-		s.Started(choice.Target, false)
+		s.Started(r.now, choice.Target, false)
 		return balanceIndex(choice.Target)
 	}
 	r.onResponse = func(e *balanceEntry, t *balanceTarget, serviceTime time.Duration) {
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -244,7 +244,7 @@
 		Target: choice.Target, Node: choice.Node, Domain: choice.Domain, Started: sim.now, InProgress: true, Hedge: hedged})
 	s.attempts = append(s.attempts, a)
 	entry.attempts[a.id] = a
-	entry.selector.Started(target.id, s.request.class.Long)
+	entry.selector.Started(sim.now, target.id, s.request.class.Long)
 	entry.handleHealthChanges(entry.health.Observe(sim.now, health.Evidence{Kind: health.Started, Target: target.id, Node: choice.Node,
 		Class: s.request.class.Name, Attempt: a.id, ConnectedAt: epoch, Trickle: a.trickle}))
 	sim.send(entry.index, target.node, func() { entry.fleet.gates[target.node].receive(a) })
--- a/connection/selection/distance_test.go
+++ b/connection/selection/distance_test.go
@@ -11,7 +11,7 @@
 		for _, choice := range s.Subset("svc") {
 			if choice.Domain == "d0" {
 				for range 4 { // 4 of 6 slots in use
-					s.Started(choice.Target, false)
+					s.Started(start, choice.Target, false)
 				}
 			}
 		}
--- a/connection/selection/joint_test.go
+++ b/connection/selection/joint_test.go
@@ -62,7 +62,7 @@
 		rt.Fatalf("trickle %v to %s: %+v", choice.Trickle, choice.Target, state)
 	}
 	j.lastAttemptID++
-	j.selector.Started(choice.Target, false)
+	j.selector.Started(j.now, choice.Target, false)
 	j.inFlight, j.attemptIDs = append(j.inFlight, choice), append(j.attemptIDs, j.lastAttemptID)
 	j.tracker.Observe(j.now, health.Evidence{Kind: health.Started, Target: choice.Target, Node: choice.Node, Attempt: j.lastAttemptID, ConnectedAt: j.now})
 }
--- a/connection/selection/pick.go
+++ b/connection/selection/pick.go
@@ -47,7 +47,6 @@
 
 // Pick chooses a target, or returns false if no usable target is in rotation.
 func (s *Selector) Pick(now time.Time, q Query, state func(target string) health.State) (Choice, bool) {
-	s.pickedAt = now
 	svc := s.services[q.Service]
 	if svc == nil {
 		return Choice{}, false
--- a/connection/selection/selection_test.go
+++ b/connection/selection/selection_test.go
@@ -122,7 +122,7 @@
 					}
 				}
 				if len(got) > 0 {
-					s.Started(got[0].Target, false)
+					s.Started(start, got[0].Target, false)
 				}
 			}
 		}
@@ -156,7 +156,7 @@
 			continue
 		}
 		counts[choice.Target]++
-		s.Started(choice.Target, false)
+		s.Started(now, choice.Target, false)
 		queue = append(queue, choice.Target)
 		if len(queue) > inFlight {
 			s.Finished(queue[0], false)
@@ -192,7 +192,7 @@
 			queue := []string{}
 			for range 3000 {
 				c, _ := s.Pick(start, Query{Service: "svc"}, healthy)
-				s.Started(c.Target, false)
+				s.Started(start, c.Target, false)
 				maxLoad = max(maxLoad, c.Load)
 				if queue = append(queue, c.Target); len(queue) > 36 {
 					s.Finished(queue[0], false)
@@ -347,7 +347,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				c, _ := s.Pick(start, Query{Service: "svc"}, healthy)
-				s.Started(c.Target, false)
+				s.Started(start, c.Target, false)
 				s.Finished(c.Target, false)
 			}
 		})
--- a/connection/selection/selector.go
+++ b/connection/selection/selector.go
@@ -13,12 +13,10 @@
 
 // Selector chooses targets for one entry. It is not safe for concurrent use.
 type Selector struct {
-	options  Options
-	rand     *rand.Rand
-	services map[string]*service
-	targets  map[string]*member
-	// pickedAt is the time of the last Pick, after which Started is called.
-	pickedAt   time.Time
+	options    Options
+	rand       *rand.Rand
+	services   map[string]*service
+	targets    map[string]*member
 	loadCounts loadview.Counts
 }
 
@@ -158,11 +156,11 @@
 }
 
 // Started counts an attempt that was sent to the target as in flight.
-func (s *Selector) Started(target string, long bool) {
+func (s *Selector) Started(now time.Time, target string, long bool) {
 	if m := s.targets[target]; m != nil {
 		*m.inFlightCount(long)++
 		if m.starts != nil {
-			m.recentStarts(long).add(s.pickedAt)
+			m.recentStarts(long).add(now)
 		}
 	}
 }
--- a/connection/selection/shared_test.go
+++ b/connection/selection/shared_test.go
@@ -23,7 +23,7 @@
 		now = now.Add(time.Duration(r.IntN(20)) * time.Millisecond)
 		q := Query{Service: "svc", FreeSlotOnly: i%7 == 0, Long: i%5 == 0, RemoteCostFactor: []float64{0, 0.4, 2}[i%3]}
 		if choice, ok := s.Pick(now, q, healthy); ok {
-			s.Started(choice.Target, false)
+			s.Started(now, choice.Target, false)
 			running = append(running, choice)
 			_, _ = fmt.Fprint(digest, choice)
 		}
@@ -81,16 +81,27 @@
 	}
 	// What this entry sends counts at once: five more fill t6.
 	for range 5 {
-		if _, ok := s.Pick(start, Query{Service: "svc"}, healthy); !ok {
-			t.Fatal("no target")
-		}
-		s.Started("t00006", false)
+		s.Started(start, "t00006", false)
 	}
 	if choice, ok := s.Pick(start, Query{Service: "svc", FreeSlotOnly: true}, healthy); !ok || choice.Domain == "d0" {
 		t.Errorf("free slot at %+v after five requests to t00006", choice)
 	}
 }
 
+// Guards against requests that do not count because no target was picked for them, such as
+// the retries of an order that go to the target which has its key.
+func TestStartsWithoutPickCount(t *testing.T) {
+	s := newSelector(Options{ShareLoads: true}, candidates(1, 1))
+	now := start.Add(time.Minute)
+	s.ObserveLoad(now, "t00000", attempt.Load{Slots: 6, Limit: 6, Running: 3})
+	for range 3 {
+		s.Started(now, "t00000", false)
+	}
+	if choice, ok := s.Pick(now, Query{Service: "svc", FreeSlotOnly: true}, healthy); ok {
+		t.Errorf("free slot at %+v, which has 3 running and 3 sent requests of 6", choice)
+	}
+}
+
 // BenchmarkPickWithSharedLoads measures a choice and the check for a free slot elsewhere, as
 // each request makes them.
 func BenchmarkPickWithSharedLoads(b *testing.B) {
--- a/process/entry/keyed.go
+++ b/process/entry/keyed.go
@@ -128,7 +128,7 @@
 		}
 	}
 	if found {
-		e.selector.Started(best.key, q.long)
+		e.selector.Started(e.now(), best.key, q.long)
 	}
 	return best, found, "the gate that owns the order key has no target of the service"
 }
--- a/process/entry/run.go
+++ b/process/entry/run.go
@@ -246,7 +246,7 @@
 	if !chosen || !known {
 		return gateTarget{}, nil, false
 	}
-	q.entry.selector.Started(choice.Target, q.long)
+	q.entry.selector.Started(now, choice.Target, q.long)
 	return target, q.entry.candidates(now, f, q.service), true
 }
 
