--- a/process/control/guard.go
+++ b/process/control/guard.go
@@ -19,8 +19,8 @@
 	// maxMetadataPairs bounds the metadata of the first call, as pairs of a few bytes
 	// take many times their bytes once decoded. Nodes send one.
 	maxMetadataPairs = 8
-	// maxTokenBytes leaves the rest of the handshake to the method name and framing.
-	maxTokenBytes = 3 << 10
+	// MaxTokenBytes leaves the rest of the handshake to the method name and framing.
+	MaxTokenBytes = 3 << 10
 	// refusedLinger is how long the bytes of a refused connection are discarded, so
 	// that unread bytes don't reset it before its client has read the refusal.
 	refusedLinger = 500 * time.Millisecond
--- a/process/control/server.go
+++ b/process/control/server.go
@@ -123,8 +123,8 @@
 	if o.OnPeer == nil {
 		o.OnPeer = func(net.Conn) {}
 	}
-	if len(o.Token) > maxTokenBytes {
-		return nil, fmt.Errorf("control: fleet token of %d bytes, at most %d", len(o.Token), maxTokenBytes)
+	if len(o.Token) > MaxTokenBytes {
+		return nil, fmt.Errorf("control: fleet token of %d bytes, at most %d", len(o.Token), MaxTokenBytes)
 	}
 	s := &Server{options: o, token: sha256.Sum256([]byte(o.Token)), mux: drpcmux.New()}
 	if err := controlpb.DRPCRegisterControl(s.mux, &rpcService{handler: h}); err != nil {
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -108,6 +108,7 @@
 	node.failed, node.setFailed = context.WithCancelCause(context.Background())
 	node.buildTelemetry()
 	node.buildRoles()
+	const _ = uint(control.MaxTokenBytes - settings.MaxTokenBytes) // settings that pass their check start
 	node.client = control.NewClient(control.ClientOptions{Token: o.Settings.FleetToken, Meter: node.meter, Timeout: controlCallTimeout})
 	node.fleet = newFleetView(node, node.client)
 	node.config = node.newConfiguration()
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -39,6 +39,8 @@
 	DefaultConnectionMemory = 64 << 20
 
 	minTokenBytes = 16
+	// MaxTokenBytes is what fits into the first call between two nodes.
+	MaxTokenBytes = 3 << 10
 	// minMemory leaves 16 MiB for connections, several times the largest request.
 	minMemory = 32 << 20
 )
@@ -247,8 +249,8 @@
 	if s.Domain == "" {
 		doc.Add("domain", "failure domain is missing")
 	}
-	if len(s.FleetToken) < minTokenBytes {
-		doc.Add("fleet_token", "want at least %d bytes", minTokenBytes)
+	if n := len(s.FleetToken); n < minTokenBytes || n > MaxTokenBytes {
+		doc.Add("fleet_token", "want %d to %d bytes, got %d", minTokenBytes, MaxTokenBytes, n)
 	}
 	if u, err := url.Parse(s.LogURL); err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
 		doc.Add("log_url", "want an http or https URL, got %q", s.LogURL)
--- a/process/settings/settings_test.go
+++ b/process/settings/settings_test.go
@@ -1,9 +1,12 @@
 package settings_test
 
 import (
+	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
+	"github.com/hyssopsill/hyssopsill/finding"
 	"github.com/hyssopsill/hyssopsill/process/settings"
 )
 
@@ -14,6 +17,18 @@
 	}
 }
 
+// Guards against a token that passes the check of the settings and ends the node at its start.
+func TestLongTokenIsRejected(t *testing.T) {
+	for _, extra := range []int{0, 1} {
+		text := fmt.Sprintf("fleet_token = %q\n", strings.Repeat("t", settings.MaxTokenBytes+extra))
+		_, findings := settings.Parse("node.toml", []byte(text))
+		rejected := slices.ContainsFunc(findings, func(f finding.Finding) bool { return f.Key == "fleet_token" })
+		if rejected != (extra > 0) {
+			t.Errorf("%d bytes above the bound: rejected %v", extra, rejected)
+		}
+	}
+}
+
 // Guards against reporting only some of the errors of a file, or an error without
 // its line.
 func TestAllErrorsAreReported(t *testing.T) {
