--- a/cmd/hyssopsill/accounts.go
+++ b/cmd/hyssopsill/accounts.go
@@ -10,7 +10,6 @@
 
 	"github.com/hyssopsill/hyssopsill/connection/quota"
 	"github.com/hyssopsill/hyssopsill/process/entry"
-	"github.com/hyssopsill/hyssopsill/process/telemetry"
 )
 
 func accountsCommand(a *app) *cli.Command {
@@ -40,20 +39,14 @@
 	out := struct {
 		Views  []accountsView    `json:"views"`
 		Errors map[string]string `json:"errors,omitempty"` // by URL
-	}{Views: []accountsView{}, Errors: map[string]string{}}
+	}{Views: []accountsView{}}
 	wanted := func(account string, share float64) bool {
 		return (c.String("account") == "" || account == c.String("account")) && (share < 1 || !c.Bool("limited"))
 	}
-	statuses := fetchAll[telemetry.Status](ctx, nodes, "/v1/status")
-	for i, response := range fetchAll[entry.AccountsStatus](ctx, nodes, "/v1/accounts") {
-		if response.Err != nil {
-			out.Errors[response.URL] = response.Err.Error()
-			continue
-		}
-		view := accountsView{response.URL, response.Value}
-		if statuses[i].Err == nil {
-			view.Node = statuses[i].Value.Node
-		}
+	responses, failed := fetchNamed[entry.AccountsStatus](ctx, nodes, "/v1/accounts")
+	out.Errors = failed
+	for _, response := range responses {
+		view := accountsView{response.Node, response.Value}
 		view.Entry = slices.DeleteFunc(view.Entry, func(s quota.AccountStatus) bool { return !wanted(s.Account, s.Share) })
 		view.Owner = slices.DeleteFunc(view.Owner, func(s quota.OwnedStatus) bool { return !wanted(s.Account, s.Share) })
 		out.Views = append(out.Views, view)
--- a/cmd/hyssopsill/nodes.go
+++ b/cmd/hyssopsill/nodes.go
@@ -71,6 +71,31 @@
 	return responses
 }
 
+// namedResponse is the decoded response of one node with its name, or its URL if the name
+// is not known.
+type namedResponse[T any] struct {
+	Node  string
+	Value T
+}
+
+// fetchNamed requests a path from all nodes. It returns the responses, and the errors by URL.
+func fetchNamed[T any](ctx context.Context, nodes *nodeClient, path string) (named []namedResponse[T], failed map[string]string) {
+	failed = map[string]string{}
+	statuses := fetchAll[telemetry.Status](ctx, nodes, "/v1/status")
+	for i, response := range fetchAll[T](ctx, nodes, path) {
+		if response.Err != nil {
+			failed[response.URL] = response.Err.Error()
+			continue
+		}
+		name := response.URL
+		if statuses[i].Err == nil {
+			name = statuses[i].Value.Node
+		}
+		named = append(named, namedResponse[T]{name, response.Value})
+	}
+	return named, failed
+}
+
 func (n *nodeClient) get(ctx context.Context, address string, out any) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
--- a/cmd/hyssopsill/targets.go
+++ b/cmd/hyssopsill/targets.go
@@ -31,17 +31,11 @@
 	out := struct {
 		Views  []targetView      `json:"views"`
 		Errors map[string]string `json:"errors,omitempty"` // by URL
-	}{Views: []targetView{}, Errors: map[string]string{}}
-	statuses := fetchAll[telemetry.Status](ctx, nodes, "/v1/status")
-	for i, response := range fetchAll[[]telemetry.TargetStatus](ctx, nodes, "/v1/targets") {
-		if response.Err != nil {
-			out.Errors[response.URL] = response.Err.Error()
-			continue
-		}
-		view := targetView{Node: response.URL, Targets: []telemetry.TargetStatus{}}
-		if statuses[i].Err == nil {
-			view.Node = statuses[i].Value.Node
-		}
+	}{Views: []targetView{}}
+	responses, failed := fetchNamed[[]telemetry.TargetStatus](ctx, nodes, "/v1/targets")
+	out.Errors = failed
+	for _, response := range responses {
+		view := targetView{Node: response.Node, Targets: []telemetry.TargetStatus{}}
 		for _, t := range response.Value {
 			impaired := t.Ejected || t.Leaving || t.Suspicion > 0 || t.PathSuspicion > 0
 			if (c.String("service") == "" || t.Service == c.String("service")) && (impaired || !c.Bool("impaired")) {
