--- a/review/casekit/arrivals.go
+++ b/review/casekit/arrivals.go
@@ -27,7 +27,7 @@
 }
 
 func (a *arrivals) serve(in *instance, w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("X-Hyssopsill-Request-Id")
+	id := r.Header.Get(wire.RequestID)
 	_, _ = io.Copy(io.Discard, r.Body)
 	now := time.Now()
 	a.mu.Lock()
--- a/review/casekit/client.go
+++ b/review/casekit/client.go
@@ -46,8 +46,8 @@
 		r = r.WithContext(httptrace.WithClientTrace(r.Context(), q.trace))
 	}
 	r.Host = q.host
-	r.Header.Set("X-Hyssopsill-Request-Id", q.id)
-	r.Header.Set("X-Hyssopsill-Deadline-Ms", fmt.Sprint(q.deadline.Milliseconds()))
+	r.Header.Set(wire.RequestID, q.id)
+	r.Header.Set(wire.Deadline, fmt.Sprint(q.deadline.Milliseconds()))
 	response, err := client.Do(r)
 	if err != nil {
 		return answer{failed: err}
@@ -57,7 +57,7 @@
 	if err != nil {
 		return answer{failed: err}
 	}
-	return answer{status: response.StatusCode, signed: response.Header.Get("X-Hyssopsill-Response-Signature"), body: body}
+	return answer{status: response.StatusCode, signed: response.Header.Get(wire.Signature), body: body}
 }
 
 // newClient returns a client that gives up shortly after the deadline.
--- a/review/casekit/early.go
+++ b/review/casekit/early.go
@@ -81,7 +81,7 @@
 }
 
 func (u *uploads) serve(in *instance, w http.ResponseWriter, r *http.Request) {
-	s, id := u.stage, r.Header.Get("X-Hyssopsill-Request-Id")
+	s, id := u.stage, r.Header.Get(wire.RequestID)
 	u.mu.Lock()
 	sent, ended := u.sent[id], u.answered[id]
 	u.mu.Unlock()
--- a/review/casekit/encoded.go
+++ b/review/casekit/encoded.go
@@ -27,7 +27,7 @@
 	ran := make(chan string, 100)
 	handle := func(in *instance, w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body) // the body of an order is not checked here
-		s.note("instance %s of %s runs %s: %s %s", in.id, in.node.service, r.Header.Get("X-Hyssopsill-Request-Id"), r.Method, r.RequestURI)
+		s.note("instance %s of %s runs %s: %s %s", in.id, in.node.service, r.Header.Get(wire.RequestID), r.Method, r.RequestURI)
 		ran <- in.node.service
 		_, _ = fmt.Fprintf(w, "taken by %s", in.node.service) // fails only if the caller is gone
 	}
--- a/review/casekit/instance.go
+++ b/review/casekit/instance.go
@@ -71,7 +71,7 @@
 	body, _ := json.Marshal(map[string]any{ // always marshals
 		"address": in.node.address(appPort), "born": in.born,
 		"info":   map[string]any{"service": in.node.service, "version": "v1", "zone": in.node.zone, "slots": in.slots},
-		"status": map[string]any{"state": in.state, "sequence": in.sequence, "coldRemainingMs": 0},
+		"status": map[string]any{"state": in.state, "sequence": in.sequence, wire.Cold: 0},
 	})
 	return body
 }
@@ -86,7 +86,7 @@
 // tell calls the node beside the instance. It fails unless the call is acknowledged.
 func (in *instance) tell(what string, body []byte) error {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	response, err := client.Post("http://"+in.node.address(controlPort)+"/Instances."+what+"/"+in.id, "application/json", bytes.NewReader(body))
+	response, err := client.Post("http://"+in.node.address(controlPort)+wire.InstanceCalls+what+"/"+in.id, "application/json", bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -100,17 +100,17 @@
 
 func (in *instance) serve(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/health" {
-		w.Header().Set("X-Hyssopsill-Instance-Id", in.id)
+		w.Header().Set(wire.Instance, in.id)
 		return
 	}
-	id := r.Header.Get("X-Hyssopsill-Request-Id")
-	w.Header().Set("X-Hyssopsill-Request-Id", id)
-	if target := r.Header.Get("X-Hyssopsill-Target-Instance"); target != "" && target != in.id {
-		w.Header().Set("X-Hyssopsill-Instance-Id", in.id)
+	id := r.Header.Get(wire.RequestID)
+	w.Header().Set(wire.RequestID, id)
+	if target := r.Header.Get(wire.Target); target != "" && target != in.id {
+		w.Header().Set(wire.Instance, in.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	w.Header().Set("X-Hyssopsill-Response-Signature", "sig."+in.id+"."+id)
+	w.Header().Set(wire.Signature, "sig."+in.id+"."+id)
 	in.handle(in, w, r)
 }
 
--- a/review/casekit/slow.go
+++ b/review/casekit/slow.go
@@ -143,7 +143,7 @@
 		_ = conn.(*net.TCPConn).SetReadBuffer(clientBuffer) // the system's choice is as well
 	}
 	_ = conn.SetDeadline(time.Now().Add(slowDeadline))
-	fmt.Fprintf(conn, "GET /guide/2f HTTP/1.1\r\nHost: guide.example\r\nX-Hyssopsill-Request-Id: %016x\r\nX-Hyssopsill-Deadline-Ms: %d\r\nConnection: close\r\n\r\n", rand.Uint64(), slowDeadline.Milliseconds())
+	fmt.Fprintf(conn, "GET /guide/2f HTTP/1.1\r\nHost: guide.example\r\n%s: %016x\r\n%s: %d\r\nConnection: close\r\n\r\n", wire.RequestID, rand.Uint64(), wire.Deadline, slowDeadline.Milliseconds())
 	buffer := make([]byte, size)
 	for {
 		if _, err := conn.Read(buffer); err != nil {
