--- a/review/casekit/client.go
+++ b/review/casekit/client.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"time"
 )
 
@@ -30,7 +29,6 @@
 	deadline               time.Duration
 	body                   io.Reader // sent in chunks unless length is known
 	length                 int64
-	trace                  *httptrace.ClientTrace // may be nil
 }
 
 // send sends a request to the node on the client's machine.
@@ -42,9 +40,6 @@
 	if q.body != nil {
 		r.ContentLength = q.length
 	}
-	if q.trace != nil {
-		r = r.WithContext(httptrace.WithClientTrace(r.Context(), q.trace))
-	}
 	r.Host = q.host
 	r.Header.Set(wire.RequestID, q.id)
 	r.Header.Set(wire.Deadline, fmt.Sprint(q.deadline.Milliseconds()))
--- a/review/casekit/early.go
+++ b/review/casekit/early.go
@@ -17,14 +17,12 @@
 	earlyRequests   = 12
 	earlyBodyBytes  = 1536 << 10
 	earlyReadFirst  = 128 << 10 // bytes of the body that the instance reads before it answers
-	knownBodyBytes  = 240 << 10
-	knownReadFirst  = 80 << 10
-	earlyAnswer     = 540_000 // bytes of the largest guide
-	earlyAnswerHead = 300_000 // bytes of the answer that are ready at once
+	earlyAnswer     = 540_000   // bytes of the largest guide
+	earlyAnswerHead = 300_000   // bytes of the answer that are ready at once
 	earlyAnswerTime = time.Second
+	earlyDeadline   = 6 * time.Second // of a guide-download
 	earlyPiece      = 32 << 10
 	earlyPause      = 8 * time.Millisecond // between two pieces that the client sends
-	knownPause      = 30 * time.Millisecond
 )
 
 // answerEarly plays instances that answer before they have read a long body, keep the
@@ -32,27 +30,23 @@
 func answerEarly(s *stage) {
 	a, b := s.addNode(1, "qld-a", "library"), s.addNode(2, "qld-b", "library")
 	s.store.publish(map[string]any{
-		"version": 3,
-		"routes": map[string]any{
-			"r-guide": route("guide.example", "/guide/", "download", "library", 20000),
-			"r-order": route("order.example", "/order/", "non_idempotent", "library", 20000),
-		},
+		"version":  3,
+		"routes":   map[string]any{"r-guide": route("guide.example", "/guide/", "download", "library", 6000)},
 		"services": services("library"), "limits": limits,
 	})
-	u := &uploads{stage: s, readFirst: earlyReadFirst, judged: true, sent: map[string][]byte{}, answered: map[string]chan struct{}{}}
+	u := &uploads{stage: s, sent: map[string][]byte{}, answered: map[string]chan struct{}{}}
 	a.addInstance("i-early-a", u.serve)
 	b.addInstance("i-early-b", u.serve)
 	s.awaitReady()
 	time.Sleep(4 * time.Second) // announcements and gossip
-	client := newClient(20 * time.Second)
+	client := newClient(earlyDeadline)
 	for i := range earlyRequests {
 		body := make([]byte, earlyBodyBytes)
 		for j := range body {
 			body[j] = byte(rand.Uint32())
 		}
-		kind := []string{"guide", "order"}[i%2]
-		q := request{id: fmt.Sprintf("%016x", rand.Uint64()), method: http.MethodPost, host: kind + ".example", path: "/" + kind + "/2f",
-			deadline: 20 * time.Second, body: &pacedReader{rest: body, pause: earlyPause}, length: -1}
+		q := request{id: fmt.Sprintf("%016x", rand.Uint64()), method: http.MethodPost, host: "guide.example", path: "/guide/2f",
+			deadline: earlyDeadline, body: &pacedReader{rest: body}, length: -1}
 		u.mu.Lock()
 		u.sent[q.id], u.answered[q.id] = body, make(chan struct{})
 		u.mu.Unlock()
@@ -70,9 +64,7 @@
 
 // uploads are the requests with a long body, by their ids.
 type uploads struct {
-	stage     *stage
-	readFirst int64 // bytes of a body that the instance reads before it answers
-	judged    bool  // other bytes than those sent break the rule of the case
+	stage *stage
 
 	mu             sync.Mutex
 	sent           map[string][]byte
@@ -104,7 +96,7 @@
 		if http.NewResponseController(w).EnableFullDuplex() != nil {
 			s.fail("the instance cannot answer before it has read the body")
 		}
-		_, _ = io.CopyN(read, r.Body, u.readFirst) // an error shows again below
+		_, _ = io.CopyN(read, r.Body, earlyReadFirst) // an error shows again below
 		s.note("instance %s answers %s after %d bytes of its body", in.id, id, read.Len())
 		go func() {
 			defer close(written)
@@ -118,7 +110,7 @@
 		for at < len(got) && got[at] == sent[at] {
 			at++
 		}
-		u.report("UNASKED: instance %s gets other bytes of %s from byte %d on", in.id, id, at)
+		s.breach("UNASKED: instance %s gets other bytes of %s from byte %d on", in.id, id, at)
 	}
 	switch {
 	case err != nil:
@@ -128,7 +120,7 @@
 		s.note("instance %s runs %s with its whole body", in.id, id)
 	default:
 		u.count(&u.altered)
-		u.report("UNASKED: instance %s runs %s with %d bytes, digest %s; the client sent %d bytes, digest %s", in.id, id, len(got), digest(got), len(sent), digest(sent))
+		s.breach("UNASKED: instance %s runs %s with %d bytes, digest %s; the client sent %d bytes, digest %s", in.id, id, len(got), digest(got), len(sent), digest(sent))
 	}
 	if s.trouble {
 		<-written
@@ -137,15 +129,6 @@
 	}
 }
 
-// report notes other bytes than those sent.
-func (u *uploads) report(format string, args ...any) {
-	if u.judged {
-		u.stage.breach(format, args...)
-	} else {
-		u.stage.note(format, args...)
-	}
-}
-
 func (u *uploads) count(n *int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -163,16 +146,13 @@
 }
 
 // pacedReader is a body that arrives piece by piece.
-type pacedReader struct {
-	rest  []byte
-	pause time.Duration // before each piece
-}
+type pacedReader struct{ rest []byte }
 
 func (p *pacedReader) Read(buffer []byte) (int, error) {
 	if len(p.rest) == 0 {
 		return 0, io.EOF
 	}
-	time.Sleep(p.pause)
+	time.Sleep(earlyPause)
 	n := copy(buffer[:min(len(buffer), earlyPiece)], p.rest)
 	p.rest = p.rest[n:]
 	return n, nil
--- a/review/casekit/encoded.go
+++ b/review/casekit/encoded.go
@@ -31,6 +31,7 @@
 		ran <- in.node.service
 		_, _ = fmt.Fprintf(w, "taken by %s", in.node.service) // fails only if the caller is gone
 	}
+	entry.addInstance("i-beside", handle)
 	orders.addInstance("i-orders", handle)
 	shop.addInstance("i-shopfront", handle)
 	s.awaitReady()
--- a/review/casekit/foreign.go
+++ b/review/casekit/foreign.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-func init() { cases["9"] = foreignHeartbeat }
+func init() { cases["8"] = foreignHeartbeat }
 
 // Times of the case, from the acknowledgement of the state draining.
 const (
@@ -28,6 +28,7 @@
 		"services": services("orders", "shopfront"), "limits": limits,
 	})
 	a := &arrivals{stage: s, lateRuns: map[string]bool{}}
+	entry.addInstance("i-beside", a.serve)
 	leaving := own.addInstance("i-leaving", a.serve)
 	other.addInstance("i-staying", a.serve)
 	s.awaitReady()
--- a/review/casekit/instance.go
+++ b/review/casekit/instance.go
@@ -28,7 +28,6 @@
 	mu       sync.Mutex
 	state    string
 	sequence int64
-	silent   bool // sends no heartbeats
 }
 
 // addInstance starts an instance beside a node.
@@ -49,12 +48,7 @@
 
 func (in *instance) beat() {
 	for {
-		in.mu.Lock()
-		silent := in.silent
-		in.mu.Unlock()
-		if !silent {
-			_ = in.heartbeat() // repeated at the next interval
-		}
+		_ = in.heartbeat() // repeated at the next interval
 		select {
 		case <-in.stopped:
 			return
@@ -99,8 +93,17 @@
 }
 
 func (in *instance) serve(w http.ResponseWriter, r *http.Request) {
+	in.mu.Lock()
+	leaving := in.state == "draining"
+	in.mu.Unlock()
+	if leaving {
+		w.Header().Set("Connection", "close")
+	}
 	if r.URL.Path == "/health" {
 		w.Header().Set(wire.Instance, in.id)
+		if leaving {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 		return
 	}
 	id := r.Header.Get(wire.RequestID)
--- a/review/casekit/main.go
+++ b/review/casekit/main.go
@@ -1,4 +1,4 @@
-// Command casekit runs the scripted cases 6 to 10 of the review. It starts the nodes of
+// Command casekit runs the scripted cases of the second review. It starts the nodes of
 // a small deployment as separate processes and plays their clients, instances and
 // store. It exits with 1 when the rule of the case was broken, with 0 when it held, and
 // with 2 when the case could not run.
--- a/review/casekit/node.go
+++ b/review/casekit/node.go
@@ -54,7 +54,7 @@
 		"{{platform.address}}", n.stage.store.address,
 		"{{listen.outbound}}", n.address(outboundPort), "{{listen.inbound}}", n.address(inboundPort),
 		"{{listen.control}}", n.address(controlPort), "{{listen.ready}}", n.address(readyPort),
-		"{{internalPorts.0}}", fmt.Sprint(internalPort), "{{limits.memoryMb}}", fmt.Sprint(n.stage.memoryMB),
+		"{{internalPorts.0}}", fmt.Sprint(internalPort), "{{limits.memoryMb}}", "284",
 		"{{bounds.graceS}}", "6", "{{bounds.floorShare}}", "0.7", "{{bounds.retryBudgetRatio}}", "0.2",
 		"{{bounds.retryBudgetSlack}}", "62", "{{bounds.budgetWindowS}}", "10",
 	).Replace(string(template))
--- a/review/casekit/stage.go
+++ b/review/casekit/stage.go
@@ -20,7 +20,6 @@
 	scratch  string // temporary folder
 	network  string // first three parts of the loopback addresses
 	store    *store
-	memoryMB int // of each machine
 	breaches atomic.Int64
 
 	mu     sync.Mutex
@@ -37,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &stage{trouble: trouble, start: time.Now(), scratch: scratch, record: record, memoryMB: 284,
+	s := &stage{trouble: trouble, start: time.Now(), scratch: scratch, record: record,
 		network: fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))}
 	s.note("case %s, disruption: %t", number, trouble)
 	s.store, err = newStore(s)
