process/upload: a body that is still being forwarded is not dropped

What callers saw: a target that answered before it had read a long body and read on got the rest of the body with a gap. In chunks it ran the request with about 1 MiB of 1.5 MiB and the caller got 200; with a length the answer was cut.

Cause: net/http's server reads up to 256 KiB + 1 byte of an unread request body and drops them when the response begins. Gate and entry begin a response above 256 KiB while a bodySender still reads the same body for the next hop. When the dropped part reaches the end of the body, the body is closed, the sender fails and interrupts the connection on which the answer arrives.

Change: process/upload switches to full duplex. net/http then no longer looks after an unread rest: if the last read failed, it takes the rest for the next request. So the connection is closed after the response unless the whole body was read. limitedConn passes on CloseWrite, so that the client learns of the end before a reset could take the response from it.

--- a/process/entry/attempt.go
+++ b/process/entry/attempt.go
@@ -297,8 +297,7 @@
 		Fields: fields, Prefix: q.body, Length: q.bodyLength(), BeforeSend: a.beforeSend,
 	}
 	if q.bodyRest != nil {
-		req.Body = q.bodyRest
-		req.InterruptBody = func() { _ = http.NewResponseController(q.callerResponse).SetReadDeadline(time.Unix(1, 0)) } // the connection is closed after this
+		req.Body, req.InterruptBody = q.bodyRest, q.bodyRest.Interrupt
 	}
 	return req
 }
--- a/process/entry/request.go
+++ b/process/entry/request.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/hyssopsill/hyssopsill/process/roundtrip"
+	"github.com/hyssopsill/hyssopsill/process/upload"
 	"github.com/hyssopsill/hyssopsill/request/account"
 	"github.com/hyssopsill/hyssopsill/request/attempt"
 	"github.com/hyssopsill/hyssopsill/request/class"
@@ -48,8 +49,8 @@
 	orderKey       order.Key
 	record         record.Request
 
-	body           []byte // buffered prefix of the body; all of it when bodyRest is nil
-	bodyRest       *upload
+	body           []byte       // buffered prefix of the body; all of it when bodyRest is nil
+	bodyRest       *upload.Body // the rest of a larger one, forwarded while it arrives
 	poison         poison.Request
 	skipHeader     func(string) bool
 	history        []attemptState
@@ -61,17 +62,6 @@
 	exemptFromStop func() bool   // keeps EndWaitingRequests from ending this request
 }
 
-// upload is the part of a body that is forwarded while it arrives.
-type upload struct {
-	io.Reader
-	partlyRead bool // a part was read, so it cannot be sent again
-}
-
-func (u *upload) Read(p []byte) (int, error) {
-	u.partlyRead = true
-	return u.Reader.Read(p)
-}
-
 // assignID gives the request the ID that its caller chose, so that gates recognize
 // a request that arrives twice, or a new one.
 func (q *request) assignID() {
@@ -151,6 +141,7 @@
 		q.refuse(attempt.NotRun, reason, err.Error(), 0)
 		return
 	}
+	defer q.finishUpload()
 	if !q.resolveKey() {
 		return
 	}
@@ -325,7 +316,9 @@
 		return attempt.ReasonBadRequest, fmt.Errorf("request body: %w", err)
 	}
 	if len(q.body) == maxReplayBytes && q.callerRequest.ContentLength != maxReplayBytes {
-		q.bodyRest = &upload{Reader: body}
+		if q.bodyRest, err = upload.New(q.callerResponse, body); err != nil {
+			return attempt.ReasonBadRequest, fmt.Errorf("request body: %w", err)
+		}
 		return "", nil
 	}
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
@@ -334,6 +327,17 @@
 	return "", nil
 }
 
+// finishUpload ends the forwarding of the body and notes in the record of an answered
+// request that a part of it was not forwarded.
+func (q *request) finishUpload() {
+	if q.bodyRest == nil || q.bodyRest.Finish() {
+		return
+	}
+	if q.record.Outcome == attempt.Answered {
+		q.record.Detail = "the target answered and did not read the whole request body"
+	}
+}
+
 // bodyLength returns the length of the whole body in bytes, -1 when unknown.
 func (q *request) bodyLength() int64 {
 	if q.bodyRest == nil {
@@ -343,7 +347,7 @@
 }
 
 // replayable reports whether the whole body can be sent again.
-func (q *request) replayable() bool { return q.bodyRest == nil || !q.bodyRest.partlyRead }
+func (q *request) replayable() bool { return q.bodyRest == nil || !q.bodyRest.Started() }
 
 // refuse ends the request with a problem document.
 func (q *request) refuse(outcome attempt.Outcome, reason attempt.Reason, detail string, retryAfter time.Duration) {
--- a/process/gate/exchange.go
+++ b/process/gate/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/hyssopsill/hyssopsill/connection/admission"
 	"github.com/hyssopsill/hyssopsill/connection/breaker"
 	"github.com/hyssopsill/hyssopsill/process/roundtrip"
+	"github.com/hyssopsill/hyssopsill/process/upload"
 	"github.com/hyssopsill/hyssopsill/request/attempt"
 	"github.com/hyssopsill/hyssopsill/request/order"
 	"github.com/hyssopsill/hyssopsill/request/poison"
@@ -313,6 +314,15 @@
 	ctx, cancel := e.targetContext()
 	defer cancel()
 	req := e.targetRequest()
+	if e.r.ContentLength != 0 {
+		body, err := upload.New(e.w, e.r.Body)
+		if err != nil {
+			e.respondProblem(attempt.VerdictRefused, attempt.ReasonBadRequest, "request body: "+err.Error(), 0)
+			return
+		}
+		defer body.Finish()
+		req.Body, req.InterruptBody = body, body.Interrupt
+	}
 	resp, err := e.gate.client.Do(ctx, address, req)
 	if err != nil {
 		e.reportNoResponse(ctx, address, err)
@@ -363,10 +373,6 @@
 			return id == "" || id == string(e.id.Request)
 		}
 	}
-	if e.r.ContentLength != 0 {
-		req.Body = e.r.Body
-		req.InterruptBody = func() { _ = http.NewResponseController(e.w).SetReadDeadline(time.Unix(1, 0)) } // a past deadline ends the read and the entry's connection
-	}
 	return req
 }
 
--- a/process/node/listen.go
+++ b/process/node/listen.go
@@ -239,6 +239,15 @@
 	return c.Conn.Close()
 }
 
+// CloseWrite tells the client that no more is sent. net/http calls it before it closes a
+// connection whose client still sends, so that no reset takes the response from it.
+func (c *limitedConn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
 func (c *limitedConn) Read(p []byte) (int, error) {
 	if c.listener.control {
 		return c.Conn.Read(p)
--- a/process/node/memory.go
+++ b/process/node/memory.go
@@ -241,9 +241,7 @@
 	if inHead {
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(time.Millisecond)) // the write must not wait for the client
 		_, _ = c.Conn.Write(c.listener.memory.refusal)
-		if tcp, ok := c.Conn.(*net.TCPConn); ok {
-			_ = tcp.CloseWrite()
-		}
+		_ = c.CloseWrite()
 	}
 	// net/http closes the connection without a response after an error of this type.
 	return &net.OpError{Op: "read", Net: "tcp", Err: errMemory}
--- /dev/null
+++ b/process/upload/body.go
@@ -0,0 +1,65 @@
+package upload
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// Body is the body of a request that is being served. One goroutine may read it while
+// another writes the response.
+type Body struct {
+	response http.ResponseWriter
+	source   io.Reader
+	started  atomic.Bool
+	whole    atomic.Bool
+}
+
+// New returns the body of the request whose response is w. It reads from source, and
+// nothing else may read the body from then on. Finish must be called.
+func New(w http.ResponseWriter, source io.Reader) (*Body, error) {
+	if err := http.NewResponseController(w).EnableFullDuplex(); err != nil {
+		return nil, err
+	}
+	return &Body{response: w, source: source}, nil
+}
+
+func (b *Body) Read(p []byte) (int, error) {
+	b.started.Store(true)
+	n, err := b.source.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.whole.Store(true)
+	}
+	return n, err
+}
+
+// Started reports whether a part was read, so that the body cannot be sent again.
+func (b *Body) Started() bool { return b.started.Load() }
+
+// Interrupt makes a blocked read fail, and all later ones.
+func (b *Body) Interrupt() {
+	_ = http.NewResponseController(b.response).SetReadDeadline(time.Unix(1, 0)) // fails only if the connection is closed
+}
+
+// Finish ends the use of the body, before the handler returns. It reports whether the
+// whole body was read. If not, the connection is closed after the response, as net/http
+// would take the rest of the body for the next request when its last read has failed.
+func (b *Body) Finish() bool {
+	if b.whole.Load() {
+		return true
+	}
+	closeAfterResponse(b.response)
+	b.Interrupt() // net/http would read on before it closes the connection
+	return false
+}
+
+// closeAfterResponse makes net/http close the connection once the response is sent, and
+// leaves the client time to read it. The header may be sent already. net/http offers this
+// only for bodies that are too large.
+func closeAfterResponse(w http.ResponseWriter) {
+	tooLarge := http.MaxBytesReader(w, io.NopCloser(strings.NewReader("x")), 0)
+	_, _ = tooLarge.Read(make([]byte, 1)) // fails by design
+}
