process/roundtrip: a complete response does not end the upload before it

What callers saw: where the whole answer came before the whole body was sent, the upload broke off.

Cause: 5 ms after the end of a response the client closed the connection on which the request was still being sent. Beyond that, HTTP clients such as net/http's give up the rest of their request 50 ms after they have read a whole response, so a proxy that delivers it at once breaks off the upload, too.

Change: the body of a successful response ends only when the request has been sent, too. It does not wait for a peer that closes the connection, for an upload that makes no progress for 3 s or half of the time that is left, or beyond the deadline; a response of 300 or above does not wait at all. A connection on which the request ended late is not used again, as the peer may still be reading from it.

--- a/process/node/upload_test.go
+++ b/process/node/upload_test.go
@@ -177,6 +177,12 @@
 	checkUploads(t, []earlyResponse{{status: http.StatusOK, first: 300_000, rest: 240_000}})
 }
 
+// Guards against a target that gets only a part of a request body because its response
+// was complete first.
+func TestUploadIsWholeAfterCompleteResponse(t *testing.T) {
+	checkUploads(t, []earlyResponse{{status: http.StatusOK}, {status: http.StatusOK, first: 400}, {status: http.StatusOK, first: 200_000}, {status: http.StatusOK, first: 540_000}})
+}
+
 // Guards against the rest of a request body that is taken for a further request when the
 // target responds and does not read it.
 func TestRestOfUnreadUploadIsNoRequest(t *testing.T) {
--- a/process/roundtrip/conn.go
+++ b/process/roundtrip/conn.go
@@ -36,9 +36,18 @@
 
 	peekFunc   func(fd uintptr) bool // peekFD, kept so that no call allocates it
 	peekBuffer [1]byte
-	noData     bool // result of peekFD
+	peeked     peekResult
 }
 
+// peekResult is what a look at a connection shows.
+type peekResult int
+
+const (
+	peekedEnd  peekResult = iota // the peer has closed it, or it has failed
+	peekedNone                   // it is open and has nothing to read
+	peekedData
+)
+
 func newConn(c *Client, address string, netConn net.Conn) *conn {
 	cn := &conn{client: c, address: address, netConn: netConn, connectedAt: time.Now()}
 	if sc, ok := netConn.(syscall.Conn); ok {
@@ -61,15 +70,30 @@
 	if cn.rawConn == nil {
 		return true
 	}
-	cn.noData = false
-	return cn.rawConn.Read(cn.peekFunc) == nil && cn.noData
+	return cn.peek() == peekedNone
 }
 
-// peekFD sets noData when the connection is open and has no byte to read. It does
-// not wait.
+// isClosedByPeer reports whether the peer sends nothing more, or the connection has failed.
+func (cn *conn) isClosedByPeer() bool { return cn.rawConn != nil && cn.peek() == peekedEnd }
+
+// peek looks at a connection that nothing else reads from.
+func (cn *conn) peek() peekResult {
+	cn.peeked = peekedEnd
+	if cn.rawConn.Read(cn.peekFunc) != nil {
+		return peekedEnd
+	}
+	return cn.peeked
+}
+
+// peekFD sets peeked. It does not wait.
 func (cn *conn) peekFD(fd uintptr) bool {
 	n, _, err := syscall.Recvfrom(int(fd), cn.peekBuffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	cn.noData = n < 0 && (err == syscall.EAGAIN || err == syscall.EWOULDBLOCK)
+	switch {
+	case n > 0:
+		cn.peeked = peekedData
+	case n < 0 && (err == syscall.EAGAIN || err == syscall.EWOULDBLOCK):
+		cn.peeked = peekedNone
+	}
 	return true
 }
 
@@ -107,7 +131,8 @@
 		}
 		return nil, &Error{Stage: stage, Err: err}
 	}
-	resp.Body = &responseBody{cn: cn, original: resp.Body, stopInterrupt: stopInterrupt, ctx: ctx, sender: sender, reusable: !resp.Close && unrelated == 0}
+	resp.Body = &responseBody{cn: cn, original: resp.Body, stopInterrupt: stopInterrupt, ctx: ctx, sender: sender,
+		rejects: resp.StatusCode >= http.StatusMultipleChoices, reusable: !resp.Close && unrelated == 0}
 	return resp, nil
 }
 
@@ -188,13 +213,22 @@
 type bodySender struct {
 	done            chan struct{}
 	interruptSource func() // makes a read of the source return
+	source          *bodySource
 	err             error
 	sourceFailed    bool // the body could not be read
 }
 
-// senderEndTimeout is how long a bodySender may take to end after the whole
-// response has arrived or its connection was closed.
-const senderEndTimeout = 5 * time.Millisecond
+const (
+	// senderEndTimeout is how long a bodySender may take to end after its connection was
+	// closed, or after the whole of a response that rejects the request has arrived.
+	senderEndTimeout = 5 * time.Millisecond
+	// maxSenderStall is how long a bodySender may make no progress after the whole response
+	// has arrived. A slow peer takes bytes only once a large part of its receive buffer is
+	// free.
+	maxSenderStall = 3 * time.Second
+	// senderPollInterval is the time between two looks at a bodySender meanwhile.
+	senderPollInterval = 10 * time.Millisecond
+)
 
 // wait reports whether the sender ends within d.
 func (s *bodySender) wait(d time.Duration) bool {
@@ -213,6 +247,45 @@
 	}
 }
 
+// awaitEnd waits for the sender after the whole response has arrived, as long as it makes
+// progress and the peer, which may read on, has not closed the connection.
+func (s *bodySender) awaitEnd(ctx context.Context, cn *conn) {
+	ticker := time.NewTicker(senderPollInterval)
+	defer ticker.Stop()
+	moved, stallEnd := s.bytesMoved(cn), stallEndFrom(ctx, time.Now())
+	for {
+		select {
+		case <-s.done:
+			return
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			if n := s.bytesMoved(cn); n != moved {
+				moved, stallEnd = n, stallEndFrom(ctx, now)
+			}
+			if now.After(stallEnd) || cn.isClosedByPeer() {
+				return
+			}
+		}
+	}
+}
+
+// stallEndFrom returns when a sender has made no progress for too long. At most half of the
+// time until the deadline passes, so that the response still arrives in time.
+func stallEndFrom(ctx context.Context, now time.Time) time.Time {
+	stall := maxSenderStall
+	if deadline, ok := ctx.Deadline(); ok {
+		stall = min(stall, deadline.Sub(now)/2)
+	}
+	return now.Add(stall)
+}
+
+// bytesMoved counts the bytes that came from the source and those that were sent. Either
+// may arrive in small parts, while the others gather in the write buffer.
+func (s *bodySender) bytesMoved(cn *conn) int64 {
+	return s.source.bytesRead.Load() + cn.bytesSent.Load()
+}
+
 // stopAndWait waits for the sender after its connection was closed. It interrupts
 // the source if the sender does not end by itself.
 func (s *bodySender) stopAndWait() {
@@ -226,13 +299,13 @@
 }
 
 func startBodySender(cn *conn, req *Request) *bodySender {
-	sender := &bodySender{done: make(chan struct{}), interruptSource: req.InterruptBody}
+	streamed := &bodySource{Reader: req.Body, remaining: -1}
+	if req.Length >= 0 {
+		streamed.remaining = req.Length - int64(len(req.Prefix))
+	}
+	sender := &bodySender{done: make(chan struct{}), interruptSource: req.InterruptBody, source: streamed}
 	go func() {
 		defer close(sender.done)
-		streamed := &bodySource{Reader: req.Body, remaining: -1}
-		if req.Length >= 0 {
-			streamed.remaining = req.Length - int64(len(req.Prefix))
-		}
 		sender.err = cn.send(req, io.MultiReader(bytes.NewReader(req.Prefix), streamed))
 		sender.sourceFailed = sender.err != nil && streamed.failed
 		if sender.sourceFailed {
@@ -244,12 +317,19 @@
 
 // responseBody is the body of a response. When it has been read to its end, the
 // connection returns to the pool.
+//
+// The body of a successful response ends only when the body of the request has been sent,
+// too, unless that comes to a standstill. Many HTTP clients, among them that of net/http,
+// give up the rest of their request once they have read the whole response, so that a
+// proxy which delivers the response sooner would break off a request that its target still
+// reads.
 type responseBody struct {
 	cn            *conn
 	original      io.ReadCloser
 	stopInterrupt func() bool
 	ctx           context.Context
 	sender        *bodySender
+	rejects       bool // the response states that the request did not succeed
 	reusable      bool
 	finished      bool
 }
@@ -287,6 +367,9 @@
 		b.cn.client.putIdle(b.cn)
 		return
 	}
+	if complete && !sent && !b.rejects {
+		b.sender.awaitEnd(b.ctx, b.cn) // the connection is not reused, as the peer may still read from it
+	}
 	b.cn.close()
 	if b.sender != nil {
 		b.sender.stopAndWait()
--- a/process/roundtrip/request.go
+++ b/process/roundtrip/request.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -105,12 +106,14 @@
 // bodySource reads the streamed part of a body and records whether that failed.
 type bodySource struct {
 	io.Reader
+	bytesRead atomic.Int64
 	remaining int64 // bytes still expected, negative when unknown
 	failed    bool  // the body could not be read, or ended early
 }
 
 func (s *bodySource) Read(p []byte) (int, error) {
 	n, err := s.Reader.Read(p)
+	s.bytesRead.Add(int64(n))
 	if s.remaining >= 0 {
 		s.remaining = max(s.remaining-int64(n), 0)
 	}
