process/upload: a connection is kept when nothing of the body was forwarded

Cause: since a gate closed the connection of the entry after each request with a body that it did not read, also where the target refused the connection and nothing was forwarded. An entry would open a connection for each attempt at a target that is down, and the gate hold the old one for another 0.5 s.

Change: full duplex begins with the first byte that is sent (BeforeSend). A body of which nothing was sent is left to net/http, which reads the rest of a small one and keeps the connection.

--- a/process/entry/attempt.go
+++ b/process/entry/attempt.go
@@ -307,8 +307,12 @@
 	return account.RequestRank(q.account, q.class.Rank)
 }
 
-// beforeSend registers the attempt with the entry and the health tracker.
+// beforeSend registers the attempt with the entry and the health tracker. It reports false
+// when the body cannot be forwarded.
 func (a *activeAttempt) beforeSend(connectedAt time.Time) bool {
+	if rest := a.request.bodyRest; rest != nil && rest.Forward() != nil {
+		return false
+	}
 	a.connectedAt = connectedAt
 	e := a.request.entry
 	e.mu.Lock()
--- a/process/entry/request.go
+++ b/process/entry/request.go
@@ -316,9 +316,7 @@
 		return attempt.ReasonBadRequest, fmt.Errorf("request body: %w", err)
 	}
 	if len(q.body) == maxReplayBytes && q.callerRequest.ContentLength != maxReplayBytes {
-		if q.bodyRest, err = upload.New(q.callerResponse, body); err != nil {
-			return attempt.ReasonBadRequest, fmt.Errorf("request body: %w", err)
-		}
+		q.bodyRest = upload.New(q.callerResponse, body)
 		return "", nil
 	}
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
@@ -334,7 +332,7 @@
 		return
 	}
 	if q.record.Outcome == attempt.Answered {
-		q.record.Detail = "the target answered and did not read the whole request body"
+		q.record.Detail = "the response was complete before the request body, whose rest was not forwarded"
 	}
 }
 
--- a/process/gate/exchange.go
+++ b/process/gate/exchange.go
@@ -315,13 +315,10 @@
 	defer cancel()
 	req := e.targetRequest()
 	if e.r.ContentLength != 0 {
-		body, err := upload.New(e.w, e.r.Body)
-		if err != nil {
-			e.respondProblem(attempt.VerdictRefused, attempt.ReasonBadRequest, "request body: "+err.Error(), 0)
-			return
-		}
+		body := upload.New(e.w, e.r.Body)
 		defer body.Finish()
 		req.Body, req.InterruptBody = body, body.Interrupt
+		req.BeforeSend = func(connectedAt time.Time) bool { return e.confirmStart(connectedAt) && body.Forward() == nil }
 	}
 	resp, err := e.gate.client.Do(ctx, address, req)
 	if err != nil {
--- a/process/upload/body.go
+++ b/process/upload/body.go
@@ -12,19 +12,22 @@
 // Body is the body of a request that is being served. One goroutine may read it while
 // another writes the response.
 type Body struct {
-	response http.ResponseWriter
-	source   io.Reader
-	started  atomic.Bool
-	whole    atomic.Bool
+	response  http.ResponseWriter
+	source    io.Reader
+	forwarded bool // Forward was called
+	started   atomic.Bool
+	whole     atomic.Bool
 }
 
-// New returns the body of the request whose response is w. It reads from source, and
-// nothing else may read the body from then on. Finish must be called.
-func New(w http.ResponseWriter, source io.Reader) (*Body, error) {
-	if err := http.NewResponseController(w).EnableFullDuplex(); err != nil {
-		return nil, err
-	}
-	return &Body{response: w, source: source}, nil
+// New returns the body of the request whose response is w. It reads from source.
+func New(w http.ResponseWriter, source io.Reader) *Body { return &Body{response: w, source: source} }
+
+// Forward prepares for reads that go on when the response begins. The handler calls it
+// before the first read, and Finish before it returns. A body that is not forwarded is left
+// to net/http, which may keep the connection.
+func (b *Body) Forward() error {
+	b.forwarded = true
+	return http.NewResponseController(b.response).EnableFullDuplex()
 }
 
 func (b *Body) Read(p []byte) (int, error) {
@@ -44,11 +47,11 @@
 	_ = http.NewResponseController(b.response).SetReadDeadline(time.Unix(1, 0)) // fails only if the connection is closed
 }
 
-// Finish ends the use of the body, before the handler returns. It reports whether the
-// whole body was read. If not, the connection is closed after the response, as net/http
-// would take the rest of the body for the next request when its last read has failed.
+// Finish ends the forwarding. It reports false when it began and a part of the body was
+// not read. The connection is then closed after the response, as net/http would take the
+// rest for the next request when the last read has failed.
 func (b *Body) Finish() bool {
-	if b.whole.Load() {
+	if !b.forwarded || b.whole.Load() {
 		return true
 	}
 	closeAfterResponse(b.response)
