soak: targets that respond to long uploads before they have read them

Change: one request in twenty is an upload of 240 KiB, sent in pieces, to which the stand-in target responds with 300 KiB after the first 16 KiB. New guarantee own-upload: no target reads other bytes, nor a body that ends properly and too early.

--- a/soak/check.go
+++ b/soak/check.go
@@ -33,6 +33,7 @@
 	AccountLimit  Guarantee = "account-limit"   // no more requests of an account run than its limit allows
 	AccountKey    Guarantee = "key"             // changed keys are in force in time, and targets see accounts but no keys
 	Memory        Guarantee = "memory"          // a node stays within the memory of its settings
+	OwnUpload     Guarantee = "own-upload"      // a target gets no other body than the one that was sent
 )
 
 // Violation describes one case in which a guarantee did not hold.
@@ -65,7 +66,7 @@
 		{GracefulStop, func(h *History) []string { return h.Stuck }}, {Leaving, checkLeaving}, {Floor, checkFloor},
 		{ConfigForward, checkConfigForward}, {Budget, checkBudget}, {PoisonLimit, checkPoison}, {Recovery, checkRecovery},
 		{RequestedEnd, checkEnds}, {TargetRates, checkRates}, {AccountLimit, checkAccountLimits},
-		{AccountKey, checkKeys}, {Memory, checkMemory},
+		{AccountKey, checkKeys}, {Memory, checkMemory}, {OwnUpload, checkUploads},
 	} {
 		for _, detail := range c.check(h) {
 			out = append(out, Violation{c.guarantee, detail})
@@ -129,6 +130,16 @@
 	return out
 }
 
+// checkUploads allows bodies that break off, but none that ends properly.
+func checkUploads(h *History) (out []string) {
+	for i := range h.Executions {
+		if run := &h.Executions[i]; run.Altered != "" {
+			out = append(out, fmt.Sprintf("target %s read a body of request %s that is not the caller's: %s", run.Target, run.Request, run.Altered))
+		}
+	}
+	return out
+}
+
 // checkNoCut covers the requests that were in progress at SIGTERM and those written
 // during the drain notice, also when the transport hid a cut by sending again.
 func checkNoCut(h *History) (out []string) {
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -158,6 +158,7 @@
 		{AccountKey, func(h *History) { h.AddedKeyFails = []string{"node n1: status 401"} }},
 		{AccountKey, func(h *History) { h.Executions[0].SecretIn = attempt.HeaderAccountKey }},
 		{AccountKey, func(h *History) { h.Executions[0].Account = "" }},
+		{OwnUpload, func(h *History) { h.Executions[0].Altered = "100 of 200 bytes" }},
 		{AccountKey, func(h *History) { h.Executions[0].Account = limitedAccount(2) }}, // known by its order
 		{AccountKey, func(h *History) {
 			run := accountExecution("t1", "", 6, limitedAccount(2))
--- a/soak/client.go
+++ b/soak/client.go
@@ -22,8 +22,15 @@
 	thinkTimeRange = 25 * time.Millisecond
 	maxOrderSends  = 3 // sends of one order with a key, including the first
 	guideBytes     = 200 << 10
-	workMS         = 10
-	clientTimeout  = 12 * time.Second // longer than all deadlines
+
+	uploadBytes        = 240 << 10
+	uploadRespondAfter = 16 << 10
+	uploadResponse     = 300 << 10 // larger than what a gate buffers
+	uploadPiece        = 32 << 10
+	uploadPause        = 5 * time.Millisecond // between pieces, so that the response begins during the upload
+
+	workMS        = 10
+	clientTimeout = 12 * time.Second // longer than all deadlines
 )
 
 // Call records one request of a caller and its result.
@@ -34,6 +41,7 @@
 	Method     string            `json:"method"`
 	Path       string            `json:"path"`
 	Work       string            `json:"work,omitempty"` // identity of an order
+	Upload     bool              `json:"upload,omitempty"`
 	WrittenAt  time.Time         `json:"written,omitzero"`
 	ResentAt   time.Time         `json:"resent,omitzero"` // when the transport wrote it again, after a closed connection
 	EndedAt    time.Time         `json:"ended"`
@@ -67,6 +75,9 @@
 		echo := fmt.Sprintf("c%d-%d", callerID, i)
 		var last Call
 		switch draw := random.IntN(20); {
+		case draw < 1:
+			path := fmt.Sprintf("/kits?echo=%s&size=%d&upload=%d&respond_after=%d", echo, uploadResponse, uploadBytes, uploadRespondAfter)
+			last = c.send(client, Call{Caller: callerID, Node: n.name, Method: http.MethodPost, Path: path, Upload: true}, n)
 		case draw < 12:
 			last = c.send(client, Call{Caller: callerID, Node: n.name, Method: http.MethodGet, Path: fmt.Sprintf("/kits?echo=%s&work_ms=%d", echo, workMS)}, n)
 		case draw < 16:
@@ -102,7 +113,10 @@
 		call.Key = keyOfCaller(call.Caller)
 	}
 	body := io.Reader(http.NoBody)
-	if call.Method == http.MethodPost {
+	switch {
+	case call.Upload:
+		body = &slowUpload{rest: target.Pattern(uploadBytes)}
+	case call.Method == http.MethodPost:
 		body = strings.NewReader("order " + call.Path)
 	}
 	written := make(chan write, 4) // the transport may write a request again
@@ -117,6 +131,9 @@
 		call.Incomplete = err.Error()
 		return call
 	}
+	if call.Upload && call.Caller%2 == 0 {
+		req.ContentLength = uploadBytes // else it is sent in chunks
+	}
 	if key, ok := strings.CutPrefix(call.Work, "key "); ok {
 		req.Header.Set(attempt.HeaderIdempotencyKey, key)
 	} else if call.Work != "" {
@@ -127,7 +144,9 @@
 		req.Header.Set(attempt.HeaderAccountName, "forged") // must not reach targets
 	}
 	resp, err := client.Do(req)
-	call.recordWrites(written)
+	if !call.Upload { // its response may begin before it has been written
+		call.recordWrites(written)
+	}
 	if err != nil {
 		call.Incomplete = err.Error()
 		return call
@@ -144,6 +163,19 @@
 	return call
 }
 
+// slowUpload is a request body that arrives piece by piece.
+type slowUpload struct{ rest []byte }
+
+func (u *slowUpload) Read(p []byte) (int, error) {
+	if len(u.rest) == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(uploadPause)
+	n := copy(p[:min(len(p), uploadPiece)], u.rest)
+	u.rest = u.rest[n:]
+	return n, nil
+}
+
 // write is one attempt of the transport to write a request.
 type write struct {
 	at  time.Time
@@ -166,7 +198,10 @@
 	}
 }
 
-var guideBody = target.Pattern(guideBytes)
+var (
+	guideBody          = target.Pattern(guideBytes)
+	uploadResponseBody = target.Pattern(uploadResponse)
+)
 
 // checkResponse records the reason of a refusal, or how the response differs from the
 // expected one.
@@ -181,9 +216,13 @@
 	if c.Status != http.StatusOK {
 		return
 	}
-	if strings.HasPrefix(c.Path, "/guides") {
-		if !bytes.Equal(data, guideBody) {
-			c.Mismatch = fmt.Sprintf("%d bytes differ from the %d requested", len(data), len(guideBody))
+	if strings.HasPrefix(c.Path, "/guides") || c.Upload {
+		want := guideBody
+		if c.Upload {
+			want = uploadResponseBody
+		}
+		if !bytes.Equal(data, want) {
+			c.Mismatch = fmt.Sprintf("%d bytes differ from the %d requested", len(data), len(want))
 		}
 		return
 	}
--- a/soak/report.go
+++ b/soak/report.go
@@ -27,6 +27,7 @@
 	Seconds    float64        `json:"seconds"`
 	Events     map[Kind]int   `json:"events"`
 	Calls      int            `json:"calls"`
+	Uploads    int            `json:"uploads"` // long uploads with a complete response
 	Outcomes   map[string]int `json:"outcomes"`
 	Executions int            `json:"executions"`
 	Views      int            `json:"views"`
@@ -71,6 +72,11 @@
 	for _, e := range h.Plan.Events {
 		r.Events[e.Kind]++
 	}
+	for i := range h.Calls {
+		if c := &h.Calls[i]; c.Upload && c.Status == http.StatusOK && c.Incomplete == "" {
+			r.Uploads++
+		}
+	}
 	for i := range h.Ends {
 		r.Ends[h.Ends[i].cause()]++
 		r.PeakKiB = max(r.PeakKiB, h.Ends[i].PeakKiB)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -76,6 +76,9 @@
 	if report.Limits.LimitedRuns == 0 || report.Limits.Unauthenticated == 0 || report.PeakKiB == 0 {
 		t.Errorf("no request of a limited account ran, no key was refused or no memory was read: %+v", report)
 	}
+	if report.Uploads == 0 {
+		t.Errorf("no long upload was answered: %+v", report)
+	}
 	crowds := 0
 	for _, kind := range hostileKinds {
 		crowds += report.Events[kind]
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -47,6 +47,9 @@
 	Account string            `json:"account,omitempty"`
 	// SecretIn is the name of a header that contains Options.Secret, or empty.
 	SecretIn string `json:"secret_in,omitempty"`
+	// Altered tells how the body of an upload differs from the one that its caller sent.
+	// Such an execution is reported beside that of the run.
+	Altered string `json:"altered,omitempty"`
 }
 
 // Counts are the counters of a target since its start.
@@ -137,7 +140,8 @@
 
 // ServeHTTP serves the requests of callers. Query parameters: work_ms is the
 // duration of the work, size the number of bytes of a large response, rate its
-// bytes/s.
+// bytes/s. upload is the size of a patterned body and respond_after the number of its bytes
+// after which the target responds.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	faults, flapDown := t.currentFaults()
 	if faults.TakesRate > 0 {
@@ -151,9 +155,13 @@
 		<-r.Context().Done()
 		return
 	}
-	body, err := readRequest(r)
-	if err != nil {
-		return // the gate interrupted the request
+	upload, _ := strconv.ParseInt(r.URL.Query().Get("upload"), 10, 64) // 0: none
+	var body requestBody
+	if upload == 0 {
+		var err error
+		if body, err = readRequest(r); err != nil {
+			return // the gate interrupted the request
+		}
 	}
 	if faults.crashesOn(r, body.text) {
 		t.reportExecution(r, faults.CrashOn)
@@ -175,12 +183,24 @@
 		http.Error(w, "internal error", http.StatusInternalServerError)
 		return
 	}
+	if upload > 0 {
+		t.serveUpload(w, r, faults, upload)
+		return
+	}
 	t.writeResponse(w, r, faults, body)
 }
 
 // reportExecution passes one run of a request to OnExecution. Crash is the text
 // on which the target crashes, or empty.
 func (t *Target) reportExecution(r *http.Request, crash string) {
+	t.report(r, Execution{Crash: crash})
+}
+
+// reportAltered passes a body that is not the caller's to OnExecution.
+func (t *Target) reportAltered(r *http.Request, how string) { t.report(r, Execution{Altered: how}) }
+
+// report completes an execution and passes it to OnExecution.
+func (t *Target) report(r *http.Request, run Execution) {
 	if t.options.OnExecution == nil {
 		return
 	}
@@ -188,8 +208,9 @@
 	if workID == "" {
 		workID = r.Header.Get("X-Work")
 	}
-	t.options.OnExecution(Execution{At: time.Now(), Target: t.options.ID, Method: r.Method, Work: workID, Crash: crash,
-		Request: attempt.RequestID(r.Header.Get(attempt.HeaderRequestID)), Account: r.Header.Get(attempt.HeaderAccountName), SecretIn: t.secretHeader(r)})
+	run.At, run.Target, run.Method, run.Work = time.Now(), t.options.ID, r.Method, workID
+	run.Request, run.Account, run.SecretIn = attempt.RequestID(r.Header.Get(attempt.HeaderRequestID)), r.Header.Get(attempt.HeaderAccountName), t.secretHeader(r)
+	t.options.OnExecution(run)
 }
 
 // secretHeader returns the name of a header that contains Options.Secret, or "".
