--- a/process/roundtrip/body_sender.go
+++ b/process/roundtrip/body_sender.go
@@ -21,8 +21,8 @@
 	// closed, or after the whole of a response that rejects the request has arrived.
 	senderEndTimeout = 5 * time.Millisecond
 	// maxSenderStall is how long a bodySender may make no progress after the whole response
-	// has arrived. A slow peer takes bytes only once a large part of its receive buffer is
-	// free.
+	// has arrived. The peer may turn to the rest later, and a slow one takes bytes only once
+	// a large part of its receive buffer is free.
 	maxSenderStall = 3 * time.Second
 	// senderPollInterval is the time between two looks at a bodySender meanwhile.
 	senderPollInterval = 10 * time.Millisecond
