connection/transfer: count the bytes of documents on their way to a node

Change: calls that carry documents count their bytes while they arrive. config_log.transfers in /debug/vars has bytes, dropped and repeated bytes, rate, age and outcomes; one line names each transfer that took more than a second or was given up after some bytes. No logic changes.

--- a/process/control/client.go
+++ b/process/control/client.go
@@ -13,6 +13,7 @@
 	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcwire"
 
+	"github.com/hyssopsill/hyssopsill/connection/transfer"
 	"github.com/hyssopsill/hyssopsill/process/control/controlpb"
 )
 
@@ -69,6 +70,8 @@
 
 // Invoke calls one method and counts its bytes.
 func (c *meteredConn) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
+	c.counted.current.Store(transfer.FromContext(ctx))
+	defer c.counted.current.Store(nil)
 	err := c.Conn.Invoke(ctx, rpc, enc, in, out)
 	received, sent := c.counted.resetCounts()
 	c.meter.add(rpc, received, sent, err)
--- a/process/control/documents.go
+++ b/process/control/documents.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/hyssopsill/hyssopsill/connection/transfer"
 	"github.com/hyssopsill/hyssopsill/eventlog"
 	"github.com/hyssopsill/hyssopsill/process/control/controlpb"
 	"github.com/hyssopsill/hyssopsill/process/periodic"
@@ -54,6 +55,9 @@
 	maxRetryDelay = 800 * time.Millisecond
 )
 
+// sourceLogService names the log service where a peer's name would stand otherwise.
+const sourceLogService = "log service"
+
 // DocumentSource is the key of a table under which operators publish
 // configuration documents.
 type DocumentSource struct {
@@ -83,9 +87,10 @@
 // Documents keeps the newest configuration document in force. It is safe for
 // concurrent use and a suture service.
 type Documents struct {
-	options DocumentOptions
-	calls   *callGroup
-	log     zerolog.Logger
+	options   DocumentOptions
+	calls     *callGroup
+	log       zerolog.Logger
+	transfers *transfer.Stats
 
 	mu     sync.Mutex
 	core   *document.Core
@@ -110,11 +115,13 @@
 	Sender              string    // who sent the document in force: the log service or a peer
 	InForceSince        time.Time // zero without a document
 	FailedAnnouncements int64     // announcements to peers that got no response, since the start
+
+	Transfers transfer.Counts // of documents, from the log service and from peers
 }
 
 // NewDocuments returns the service of one node.
 func NewDocuments(o DocumentOptions) *Documents {
-	return &Documents{options: o, calls: newCallGroup(), log: o.Log, core: document.New(o.Core, o.Random, o.Reporter)}
+	return &Documents{options: o, calls: newCallGroup(), log: o.Log, transfers: transfer.NewStats(), core: document.New(o.Core, o.Random, o.Reporter)}
 }
 
 // Serve reads documents from the table and from peers until ctx ends. The document
@@ -142,9 +149,11 @@
 }
 
 func (d *Documents) fetch(ctx context.Context, p distribute.Peer, version int64) {
-	response, err := d.options.Client.Configuration(ctx, p.Address, &controlpb.ConfigurationRequest{
+	t := d.transfers.Start("peer " + p.Node)
+	response, err := d.options.Client.Configuration(transfer.NewContext(ctx, t), p.Address, &controlpb.ConfigurationRequest{
 		From: d.options.Core.Node, After: version, Limit: 1,
 	})
+	d.endTransfer(t, 0, err)
 	if err != nil {
 		d.log.Debug().Err(err).Str("peer", p.Node).Msg("config: peer did not respond")
 		return
@@ -154,6 +163,17 @@
 	}
 }
 
+// endTransfer counts a transfer that has ended, and logs one that was slow or given up
+// after some bytes had arrived.
+func (d *Documents) endTransfer(t *transfer.Transfer, used int64, err error) {
+	s := d.transfers.End(t, err == nil, used)
+	if !s.Slow && s.Dropped == 0 {
+		return
+	}
+	d.log.Info().Err(err).Str("source", s.Source).Int64("version", d.version()).Int64("bytes", s.Bytes).Int64("dropped", s.Dropped).
+		Dur("took_ms", s.Took).Dur("idle_ms", s.Idle).Int64("bytes_per_s", int64(s.Rate)).Msg("config: transfer was slow or given up")
+}
+
 // follow reads the table until ctx ends: with Follow on a reader, else with
 // Newest from time to time. Without a position it reads the newest records.
 func (d *Documents) follow(ctx context.Context) {
@@ -207,7 +227,7 @@
 		retryDelay = minRetryDelay
 		for _, e := range entries {
 			if e.Key == source.Key && len(e.Value) > 0 {
-				d.offer(e.Value, document.FromLog, "log service")
+				d.offer(e.Value, document.FromLog, sourceLogService)
 			}
 		}
 	}
@@ -215,8 +235,9 @@
 
 // newest reads the newest records.
 func (d *Documents) newest(ctx context.Context) ([]eventlog.TableEntry, eventlog.Position, error) {
-	startedAt := time.Now()
-	entries, position, err := d.options.Source.Tables.Newest(ctx, d.options.Source.Table)
+	startedAt, t := time.Now(), d.transfers.Start(sourceLogService)
+	entries, position, err := d.options.Source.Tables.Newest(transfer.NewContext(ctx, t), d.options.Source.Table)
+	d.endTransfer(t, 0, err)
 	if err == nil {
 		d.newestTook = time.Since(startedAt)
 	}
@@ -243,10 +264,12 @@
 	wait := followWait(watcher)
 	overdue := time.AfterFunc(wait+readGrace+2*d.newestTook, func() { end(errOverdue) })
 	defer overdue.Stop()
-	entries, next, err := d.options.Source.Tables.Follow(readCtx, d.options.Source.Table, from, wait)
+	t := d.transfers.Start(sourceLogService)
+	entries, next, err := d.options.Source.Tables.Follow(transfer.NewContext(readCtx, t), d.options.Source.Table, from, wait)
 	d.mu.Lock()
 	d.read = nil
 	d.mu.Unlock()
+	d.endTransfer(t, 0, err)
 	if cause := context.Cause(readCtx); err != nil && (errors.Is(cause, errBecameWatcher) || errors.Is(cause, errOverdue)) {
 		err = cause
 	}
@@ -302,7 +325,9 @@
 func (d *Documents) LogStatus() LogStatus {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.status
+	status := d.status
+	status.Transfers = d.transfers.Counts()
+	return status
 }
 
 // waitForRole waits a random time around the given one, or until the node is a reader.
--- a/process/control/meter.go
+++ b/process/control/meter.go
@@ -5,6 +5,8 @@
 	"net"
 	"strings"
 	"sync/atomic"
+
+	"github.com/hyssopsill/hyssopsill/connection/transfer"
 )
 
 // Meter counts calls, errors and bytes per method. It counts the bytes of the
@@ -41,17 +43,20 @@
 	net.Conn
 	guarded *guardedConn // nil at a client
 	in, out atomic.Int64
+	current atomic.Pointer[transfer.Transfer] // of the call in progress; nil without one
 }
 
 func (c *countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.in.Add(int64(n))
+	c.current.Load().Received(n)
 	return n, err
 }
 
 func (c *countedConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	c.out.Add(int64(n))
+	c.current.Load().Sent(n)
 	return n, err
 }
 
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/hyssopsill/hyssopsill/connection/quota"
+	"github.com/hyssopsill/hyssopsill/connection/transfer"
 	"github.com/hyssopsill/hyssopsill/eventlog"
 	"github.com/hyssopsill/hyssopsill/process/control"
 	"github.com/hyssopsill/hyssopsill/process/control/controlpb"
@@ -323,12 +324,14 @@
 	Sender              string  `json:"sender"`     // of the document in force
 	InForceSec          float64 `json:"in_force_s"` // -1 without a document
 	FailedAnnouncements int64   `json:"failed_announcements"`
+
+	Transfers transfer.Counts `json:"transfers"`
 }
 
 func (n *Node) logStatusMetric() any {
 	status := n.config.LogStatus()
 	metric := logStatusMetric{Reader: status.Reader, Watcher: status.Watcher, LastReadAgeSec: -1,
-		Sender: status.Sender, InForceSec: -1, FailedAnnouncements: status.FailedAnnouncements}
+		Sender: status.Sender, InForceSec: -1, FailedAnnouncements: status.FailedAnnouncements, Transfers: status.Transfers}
 	if !status.LastRead.IsZero() {
 		metric.LastReadAgeSec = n.now().Sub(status.LastRead).Seconds()
 	}
