--- a/process/control/forward_test.go
+++ b/process/control/forward_test.go
@@ -82,6 +82,16 @@
 func (f *documentFleet) listen(t *testing.T, runs func(i int) bool) []*silentListener {
 	t.Helper()
 	var listeners []*silentListener
+	f.listenOn(t, runs, func(plain net.Listener) net.Listener {
+		listeners = append(listeners, &silentListener{Listener: plain})
+		return listeners[len(listeners)-1]
+	})
+	return listeners
+}
+
+// listenOn is listen with the listeners of nodes that run replaced by others.
+func (f *documentFleet) listenOn(t *testing.T, runs func(i int) bool, wrap func(net.Listener) net.Listener) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var wait sync.WaitGroup
 	for i, n := range f.nodes {
@@ -98,12 +108,10 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		listener := &silentListener{Listener: plain}
-		listeners = append(listeners, listener)
+		listener := wrap(plain)
 		wait.Go(func() { _ = server.Serve(ctx, listener) }) // ends with the context's error
 	}
 	t.Cleanup(func() { cancel(); wait.Wait() })
-	return listeners
 }
 
 // Guards against a version that does not reach a node in time, because all that announce
--- /dev/null
+++ b/process/control/large_document_test.go
@@ -0,0 +1,105 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// largeRoutes is the number of routes of a document of half a megabyte.
+const largeRoutes = 2800
+
+// largeDocument returns a document with many routes. All versions have the same routes
+// but for one.
+func largeDocument(version int) string {
+	random := rand.New(rand.NewPCG(3, 4))
+	var b strings.Builder
+	fmt.Fprintln(&b, version)
+	for i := range largeRoutes {
+		change := 0
+		if i == largeRoutes/2 {
+			change = version
+		}
+		fmt.Fprintf(&b, `"r%x":{"host":"%x.example","pathPrefix":"/%x/","service":"s%d","kind":"idempotent","maxAttempts":3,"timeoutMs":8000,"targetLatencyMs":%d,"priority":1},`+"\n",
+			random.Uint64(), random.Uint32(), random.Uint64(), random.IntN(4), 3000+change)
+	}
+	return b.String()
+}
+
+// narrowListener accepts connections that share the bandwidth of one link to send.
+type narrowListener struct {
+	net.Listener
+	link *rate.Limiter // bytes/s
+}
+
+const linkBurst = 16 << 10 // bytes
+
+func newNarrowListener(l net.Listener, bytesPerSecond int) *narrowListener {
+	return &narrowListener{l, rate.NewLimiter(rate.Limit(bytesPerSecond), linkBurst)}
+}
+
+func (l *narrowListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &narrowConn{conn, l.link}, nil
+}
+
+type narrowConn struct {
+	net.Conn
+	link *rate.Limiter
+}
+
+func (c *narrowConn) Write(p []byte) (written int, err error) {
+	for len(p) > 0 && err == nil {
+		n := min(len(p), 4<<10)
+		if err := c.link.WaitN(context.Background(), n); err != nil {
+			return written, err
+		}
+		n, err = c.Conn.Write(p[:n])
+		written, p = written+n, p[n:]
+	}
+	return written, err
+}
+
+// startNarrowFleet starts a fleet of which only the first node can read the log service.
+// The links of all nodes have the same bandwidth.
+func startNarrowFleet(t *testing.T, nodes, domains, bytesPerSecond int) *documentFleet {
+	t.Helper()
+	f := newDocumentFleet(nodes, domains)
+	all := func(int) bool { return true }
+	f.listenOn(t, all, func(l net.Listener) net.Listener { return newNarrowListener(l, bytesPerSecond) })
+	for _, n := range f.nodes[1:] {
+		n.tables.setSilent(true)
+	}
+	f.serve(t, all)
+	return f
+}
+
+// Guards against a version that reaches nodes behind links of 10 Mbit/s late or not at all
+// because its document is large.
+func TestLargeDocumentReachesAllNodes(t *testing.T) {
+	f := startNarrowFleet(t, 24, 4, 10e6/8)
+	time.Sleep(500 * time.Millisecond) // at the start all nodes read, until the first version
+	for version := 1; version <= 3; version++ {
+		f.publishDocument(t, largeDocument(version))
+		publishedAt := time.Now()
+		for _, n := range f.nodes {
+			waitFor(t, applyTime-time.Since(publishedAt), fmt.Sprint(n.peer.Node, " has version ", version), n.hasVersion(version))
+		}
+	}
+}
+
+// Guards against a transfer that is ended, and begun again from zero, although bytes arrive.
+func TestSlowTransferOfDocumentIsNotEnded(t *testing.T) {
+	f := startNarrowFleet(t, 2, 1, 64<<10)
+	f.publishDocument(t, largeDocument(1))
+	waitFor(t, 12*time.Second, "the other node has the version", f.nodes[1].hasVersion(1))
+}
--- a/process/control/readers_test.go
+++ b/process/control/readers_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -129,9 +130,10 @@
 }
 
 func newDocumentFleet(nodes, domains int) *documentFleet {
-	f := &documentFleet{log: logservice.New(logservice.Options{}), access: map[string]distribute.Access{}}
+	f := &documentFleet{log: logservice.New(logservice.Options{MaxRecordBytes: 1 << 20}), access: map[string]distribute.Access{}}
 	decode := func(data []byte) (*config.Config, error) {
-		version, err := strconv.ParseInt(string(data), 10, 64)
+		first, _, _ := strings.Cut(string(data), "\n")
+		version, err := strconv.ParseInt(first, 10, 64)
 		return &config.Config{Version: version}, err
 	}
 	for i := range nodes {
@@ -186,7 +188,13 @@
 
 func (f *documentFleet) publish(t *testing.T, version int) {
 	t.Helper()
-	if err := f.log.Put(context.Background(), "op", "config", []byte(strconv.Itoa(version))); err != nil {
+	f.publishDocument(t, strconv.Itoa(version))
+}
+
+// publishDocument publishes a document whose first line is its version.
+func (f *documentFleet) publishDocument(t *testing.T, document string) {
+	t.Helper()
+	if err := f.log.Put(context.Background(), "op", "config", []byte(document)); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/standin/logservice/service.go
+++ b/standin/logservice/service.go
@@ -19,6 +19,9 @@
 	MaxRecords int
 	// MaxAge is the age beyond which records are trimmed. 0 means no limit.
 	MaxAge time.Duration
+	// MaxRecordBytes is the maximum size of a record. The platform's limit for records of
+	// its operators is higher than the default, eventlog.MaxRecordBytes.
+	MaxRecordBytes int
 	// Now is the clock. Default time.Now.
 	Now func() time.Time
 }
@@ -74,6 +77,9 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.MaxRecordBytes <= 0 {
+		o.MaxRecordBytes = eventlog.MaxRecordBytes
+	}
 	return &Service{options: o, image: copyOf(image{})}
 }
 
@@ -103,7 +109,7 @@
 	if err := s.begin(ctx, func(c *Counts) { c.Appends++ }); err != nil {
 		return 0, err
 	}
-	if err := checkAppend(name, data); err != nil {
+	if err := s.checkAppend(name, data); err != nil {
 		return 0, err
 	}
 	s.mu.Lock()
@@ -185,12 +191,12 @@
 	return nil
 }
 
-func checkAppend(name string, data []byte) error {
+func (s *Service) checkAppend(name string, data []byte) error {
 	if !streamName.MatchString(name) {
 		return fmt.Errorf("%w: stream name %q", eventlog.ErrInvalid, name)
 	}
-	if len(data) > eventlog.MaxRecordBytes {
-		return fmt.Errorf("%w: record of %d bytes, at most %d", eventlog.ErrInvalid, len(data), eventlog.MaxRecordBytes)
+	if len(data) > s.options.MaxRecordBytes {
+		return fmt.Errorf("%w: record of %d bytes, at most %d", eventlog.ErrInvalid, len(data), s.options.MaxRecordBytes)
 	}
 	return nil
 }
