--- a/connection/transfer/transfer.go
+++ b/connection/transfer/transfer.go
@@ -86,6 +86,20 @@
 	return n, err
 }
 
+// SentReader returns a reader of a body that is sent, whose reads count as progress.
+func (t *Transfer) SentReader(r io.Reader) io.Reader { return sentReader{r, t} }
+
+type sentReader struct {
+	io.Reader
+	transfer *Transfer
+}
+
+func (r sentReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.transfer.Sent(n)
+	return n, err
+}
+
 // EndWhenIdle returns a context that ends with ErrStalled when first has passed without any
 // bytes, or limit since the last ones.
 func (t *Transfer) EndWhenIdle(ctx context.Context, first, limit time.Duration) (context.Context, context.CancelFunc) {
@@ -105,7 +119,7 @@
 		}
 		cancel(ErrStalled)
 	}
-	timer := time.AfterFunc(first, check)
+	timer := time.AfterFunc(min(first, limit), check)
 	return ctx, func() {
 		timer.Stop()
 		cancel(nil)
--- a/process/control/client.go
+++ b/process/control/client.go
@@ -18,7 +18,8 @@
 )
 
 const (
-	// DefaultCallTimeout bounds a call whose context has no nearer deadline.
+	// DefaultCallTimeout is the time without any bytes, sent or received, after which a
+	// call fails.
 	DefaultCallTimeout = 2 * time.Second
 
 	dialTimeout = time.Second
@@ -34,7 +35,8 @@
 	Token string
 	// Meter counts the calls. Default a new one.
 	Meter *Meter
-	// Timeout bounds one call. Default 2s.
+	// Timeout is the time without any bytes, sent or received, after which a call fails.
+	// A large message on a slow link takes longer as a whole. Default 2s.
 	Timeout time.Duration
 }
 
@@ -110,7 +112,12 @@
 }
 
 func (c *Client) callContext(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
+	t := transfer.FromContext(ctx)
+	if t == nil {
+		t = transfer.New("")
+		ctx = transfer.NewContext(ctx, t)
+	}
+	ctx, cancel := t.EndWhenIdle(ctx, c.options.Timeout, c.options.Timeout)
 	return drpcmetadata.AddPairs(ctx, map[string]string{tokenKey: c.options.Token}), cancel
 }
 
--- a/process/control/meter.go
+++ b/process/control/meter.go
@@ -5,6 +5,7 @@
 	"net"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/hyssopsill/hyssopsill/connection/transfer"
 )
@@ -37,6 +38,10 @@
 	m.total.Add(in + out)
 }
 
+// peerStallTimeout bounds a write that makes no progress: a frozen peer, or one without
+// power, closes no connection.
+const peerStallTimeout = 5 * time.Second
+
 // countedConn counts the bytes of a connection. One call at a time runs on a
 // connection, so the bytes since the last call belong to the current one.
 type countedConn struct {
@@ -53,11 +58,24 @@
 	return n, err
 }
 
+// maxWriteBytes is the size of the parts in which a message is written, so that progress
+// shows while a slow link takes a large one.
+const maxWriteBytes = 16 << 10
+
+// Write fails when the peer takes no part of p for peerStallTimeout.
 func (c *countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.out.Add(int64(n))
-	c.current.Load().Sent(n)
-	return n, err
+	written := 0
+	for {
+		part := p[written:min(len(p), written+maxWriteBytes)]
+		_ = c.SetWriteDeadline(time.Now().Add(peerStallTimeout)) // fails only if the connection is closed
+		n, err := c.Conn.Write(part)
+		written += n
+		c.out.Add(int64(n))
+		c.current.Load().Sent(n)
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
 }
 
 // resetCounts returns the bytes since the last reset.
