version/chunk: nodes fetch the chunks of a document that they lack

Cause: each node got each version whole from a peer, also when one weight had changed, and began a further copy each 0.3 s beside those in progress. Copies filled the links of the peers that sent them. A node fetches the manifest and the chunks that it lacks in a stream, keeps what has arrived when the peer falls silent, and asks another peer only when nothing has arrived for 0.3 s or the transfer takes more than 0.6 s; that one sends the last chunks first. Documents are decoded outside the lock, not again when they are in force already, and refused above 2 MiB with the reason. Peers of earlier programs are asked for the whole document.

--- a/process/control/client.go
+++ b/process/control/client.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
+	"strings"
 	"time"
 
 	"storj.io/drpc"
@@ -80,7 +83,12 @@
 	return err
 }
 
+// dial opens a connection for the pool.
 func (c *Client) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
+	return c.dialMetered(ctx, address)
+}
+
+func (c *Client) dialMetered(ctx context.Context, address string) (*meteredConn, error) {
 	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
@@ -102,7 +110,7 @@
 func callOnNewConnection[Req, Resp any](ctx context.Context, c *Client, address string, method func(controlpb.DRPCControlClient, context.Context, Req) (Resp, error), request Req) (Resp, error) {
 	ctx, cancel := c.callContext(ctx)
 	defer cancel()
-	conn, err := c.dial(ctx, address)
+	conn, err := c.dialMetered(ctx, address)
 	if err != nil {
 		var none Resp
 		return none, fmt.Errorf("control: %s: %w", address, err)
@@ -162,6 +170,54 @@
 	return callOnNewConnection(ctx, c, address, controlpb.DRPCControlClient.Configuration, r)
 }
 
+// errUnknownCall is returned by calls that the program of the peer does not know.
+var errUnknownCall = errors.New("the peer does not know this call")
+
+// Document requests the chunks of a node's document on a connection of its own, as
+// Configuration does, and passes them on to receive as they arrive. An error of receive
+// ends the call.
+func (c *Client) Document(ctx context.Context, address string, r *controlpb.DocumentRequest, receive func(*controlpb.DocumentPart) error) error {
+	ctx, cancel := c.callContext(ctx)
+	defer cancel()
+	conn, err := c.dialMetered(ctx, address)
+	if err != nil {
+		return fmt.Errorf("control: %s: %w", address, err)
+	}
+	defer func() { _ = conn.Close() }() // the call has ended
+	conn.counted.current.Store(transfer.FromContext(ctx))
+	err = receiveDocument(ctx, conn, r, receive)
+	received, sent := conn.counted.resetCounts()
+	c.options.Meter.add("/Document", received, sent, err)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(context.Cause(ctx), transfer.ErrStalled):
+		err = transfer.ErrStalled
+	case strings.Contains(err.Error(), "unknown rpc"): // drpc sends the text only
+		err = errUnknownCall
+	}
+	return fmt.Errorf("control: %s: %w", address, err)
+}
+
+func receiveDocument(ctx context.Context, conn drpc.Conn, r *controlpb.DocumentRequest, receive func(*controlpb.DocumentPart) error) error {
+	stream, err := controlpb.NewDRPCControlClient(conn).Document(ctx, r)
+	if err != nil {
+		return err
+	}
+	for {
+		part, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if err := receive(part); err != nil {
+			return err
+		}
+	}
+}
+
 // Snapshot requests a snapshot of the configuration state that covers offsets
 // above newerThan. It returns nil when the node has none.
 func (c *Client) Snapshot(ctx context.Context, address string, newerThan int64) ([]byte, error) {
--- a/process/control/configuration.go
+++ b/process/control/configuration.go
@@ -223,6 +223,11 @@
 	return distribute.Peer{Node: node}
 }
 
+// Document implements Handler. This fleet publishes changes instead of documents.
+func (c *Configuration) Document(_ context.Context, _ *controlpb.DocumentRequest, send func(*controlpb.DocumentPart) error) error {
+	return send(&controlpb.DocumentPart{})
+}
+
 // Snapshot implements Handler: it returns an encoded snapshot that covers offsets
 // above newerThan, or nil.
 func (c *Configuration) Snapshot(_ context.Context, newerThan int64) ([]byte, error) {
--- a/process/control/control_test.go
+++ b/process/control/control_test.go
@@ -32,6 +32,10 @@
 	return &controlpb.ConfigurationResponse{Entries: r.Entries, Offset: r.After}, nil
 }
 
+func (echoHandler) Document(context.Context, *controlpb.DocumentRequest, func(*controlpb.DocumentPart) error) error {
+	return nil
+}
+
 func (echoHandler) Snapshot(_ context.Context, newerThan int64) ([]byte, error) {
 	return make([]byte, newerThan), nil
 }
--- a/process/control/fleet_test.go
+++ b/process/control/fleet_test.go
@@ -42,6 +42,10 @@
 	return h.n.Configuration.Configuration(ctx, r)
 }
 
+func (h handler) Document(ctx context.Context, r *controlpb.DocumentRequest, send func(*controlpb.DocumentPart) error) error {
+	return h.n.Configuration.Document(ctx, r, send)
+}
+
 func (h handler) Snapshot(ctx context.Context, newerThan int64) ([]byte, error) {
 	return h.n.Configuration.Snapshot(ctx, newerThan)
 }
--- a/process/control/forward_test.go
+++ b/process/control/forward_test.go
@@ -27,6 +27,10 @@
 	return h.documents.Configuration(ctx, r)
 }
 
+func (h documentHandler) Document(ctx context.Context, r *controlpb.DocumentRequest, send func(*controlpb.DocumentPart) error) error {
+	return h.documents.Document(ctx, r, send)
+}
+
 // silentListener accepts connections that can go silent: nothing is read from them any
 // longer, and nothing sent.
 type silentListener struct {
--- a/process/control/large_document_test.go
+++ b/process/control/large_document_test.go
@@ -103,3 +103,40 @@
 	f.publishDocument(t, largeDocument(1))
 	waitFor(t, 12*time.Second, "the other node has the version", f.nodes[1].hasVersion(1))
 }
+
+// Guards against bytes that are fetched again when the peer that sends them falls silent,
+// and against a transfer from a silent peer that keeps others from beginning.
+func TestChunksAreKeptWhenPeerFallsSilent(t *testing.T) {
+	f := newDocumentFleet(3, 1)
+	all := func(int) bool { return true }
+	var listeners []*silentListener
+	f.listenOn(t, all, func(l net.Listener) net.Listener {
+		listeners = append(listeners, &silentListener{Listener: newNarrowListener(l, 64<<10)})
+		return listeners[len(listeners)-1]
+	})
+	receiver := f.nodes[2]
+	receiver.tables.setSilent(true)
+	f.serve(t, func(i int) bool { return i < 2 })
+	f.publishDocument(t, largeDocument(1))
+	for _, n := range f.nodes[:2] {
+		waitFor(t, 5*time.Second, n.peer.Node+" has the version", n.hasVersion(1))
+	}
+	time.Sleep(200 * time.Millisecond) // they have split it
+	f.serve(t, func(i int) bool { return i == 2 })
+	waitFor(t, 3*time.Second, "some chunks have arrived", func() bool { return receiver.LogStatus().Transfers.Running > 0 })
+	time.Sleep(400 * time.Millisecond)
+	arrived := receiver.LogStatus().Transfers
+	if receiver.hasVersion(1)() {
+		t.Fatal("the whole document has arrived before the silence")
+	}
+	for _, l := range listeners {
+		l.silence()
+	}
+	waitFor(t, 3*time.Second, "the version is in force", receiver.hasVersion(1))
+	time.Sleep(1200 * time.Millisecond) // the silent transfers end
+	counts := receiver.LogStatus().Transfers
+	t.Logf("before the silence %+v, in all %+v", arrived, counts)
+	if counts.Bytes > 130<<10 {
+		t.Errorf("%d bytes received, want little more than the 90 KB of the compressed document", counts.Bytes)
+	}
+}
--- a/process/control/server.go
+++ b/process/control/server.go
@@ -64,6 +64,9 @@
 	// Configuration handles the records in a request and returns the records that
 	// the request selects.
 	Configuration(ctx context.Context, r *controlpb.ConfigurationRequest) (*controlpb.ConfigurationResponse, error)
+	// Document sends the document in force in parts if it is newer than the caller's.
+	// A part must not be changed after it was sent.
+	Document(ctx context.Context, r *controlpb.DocumentRequest, send func(*controlpb.DocumentPart) error) error
 	// Snapshot returns an encoded snapshot of the configuration state that covers
 	// offsets above newerThan, or nil.
 	Snapshot(ctx context.Context, newerThan int64) ([]byte, error)
@@ -261,6 +264,10 @@
 	return response, withCode(err)
 }
 
+func (s *rpcService) Document(r *controlpb.DocumentRequest, stream controlpb.DRPCControl_DocumentStream) error {
+	return withCode(s.handler.Document(stream.Context(), r, stream.Send))
+}
+
 func (s *rpcService) Snapshot(ctx context.Context, r *controlpb.SnapshotRequest) (*controlpb.SnapshotResponse, error) {
 	data, err := s.handler.Snapshot(ctx, r.NewerThan)
 	if err != nil {
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -311,6 +311,7 @@
 	// was read.
 	Version() (version, offset int64)
 	Configuration(context.Context, *controlpb.ConfigurationRequest) (*controlpb.ConfigurationResponse, error)
+	Document(ctx context.Context, r *controlpb.DocumentRequest, send func(*controlpb.DocumentPart) error) error
 	Snapshot(ctx context.Context, newerThan int64) ([]byte, error)
 	LogStatus() control.LogStatus
 }
--- a/process/node/peers.go
+++ b/process/node/peers.go
@@ -23,6 +23,10 @@
 	return p.node.config.Configuration(ctx, r)
 }
 
+func (p peerHandler) Document(ctx context.Context, r *controlpb.DocumentRequest, send func(*controlpb.DocumentPart) error) error {
+	return p.node.config.Document(ctx, r, send)
+}
+
 func (p peerHandler) Snapshot(ctx context.Context, newerThan int64) ([]byte, error) {
 	return p.node.config.Snapshot(ctx, newerThan)
 }
--- a/version/document/core.go
+++ b/version/document/core.go
@@ -2,13 +2,16 @@
 
 import (
 	"bytes"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"reflect"
 	"slices"
 	"time"
 
+	"github.com/hyssopsill/hyssopsill/eventlog"
 	"github.com/hyssopsill/hyssopsill/request/invariant"
+	"github.com/hyssopsill/hyssopsill/version/chunk"
 	"github.com/hyssopsill/hyssopsill/version/config"
 	"github.com/hyssopsill/hyssopsill/version/distribute"
 )
@@ -31,13 +34,6 @@
 	// at least, that detect soon that their connection to the log service has gone
 	// silent. All connections may go silent at once, also after two nodes have ended.
 	MinWatchers = 3
-	// requestInterval is the time between requests to peers for a newer document.
-	requestInterval = 300 * time.Millisecond
-	// foreignDelay is the time for which a node waits for a peer of its own failure domain
-	// to have a newer document before it requests it from another one. Bytes between
-	// failure domains are paid for, and readers in each domain get a document from the log
-	// service at about the same time.
-	foreignDelay = 200 * time.Millisecond
 )
 
 // Options of a Core.
@@ -81,6 +77,11 @@
 
 	config      *config.Config
 	data        []byte
+	position    eventlog.Position // from which to follow the log service after the document; zero if unknown
+	encoded     *chunk.Document   // the last document in chunks; nil without one
+	encodedAs   int64             // its version
+	assembly    *assembly         // of a newer document; nil without one
+	fetches     map[string]fetch  // transfers in progress, by peer
 	peers       []distribute.Peer
 	announced   map[string]int64 // by node, the newest version that it announced
 	newerSince  time.Time        // when a peer was first known to have a newer document; zero without one
@@ -95,7 +96,7 @@
 	if o.FanOut <= 0 {
 		o.FanOut = DefaultFanOut
 	}
-	return &Core{options: o, random: random, reporter: reporter, announced: map[string]int64{}, asked: map[string]bool{}}
+	return &Core{options: o, random: random, reporter: reporter, announced: map[string]int64{}, asked: map[string]bool{}, fetches: map[string]fetch{}}
 }
 
 // Arrival tells how the newest document reaches a node.
@@ -159,29 +160,62 @@
 // replaces the one in force. Nodes take it from the log service only, since peers
 // cannot tell which of the two is the later one.
 func (c *Core) Offer(data []byte, source Source) (Outcome, error) {
-	next, err := c.options.Decode(data)
+	d, err := c.Decode(data, eventlog.Position{})
 	if err != nil {
 		return Refused, err
 	}
-	outcome := InForce
+	return c.Put(d, source), nil
+}
+
+// Decoded is a valid document.
+type Decoded struct {
+	config   *config.Config
+	data     []byte
+	position eventlog.Position
+}
+
+// Decode checks a document. The position is the one from which to follow the log service
+// after the document, zero if it is not known. Decode may be called while other methods
+// run, since it takes long for a large document.
+func (c *Core) Decode(data []byte, position eventlog.Position) (Decoded, error) {
+	if len(data) > chunk.MaxDocumentBytes {
+		return Decoded{}, fmt.Errorf("document of %d bytes, at most %d", len(data), chunk.MaxDocumentBytes)
+	}
+	next, err := c.options.Decode(data)
+	return Decoded{config: next, data: data, position: position}, err
+}
+
+// IsInForce reports whether data is the document in force.
+func (c *Core) IsInForce(data []byte) bool { return c.config != nil && bytes.Equal(data, c.data) }
+
+// SetPosition notes the position of the document in force, which the log service returned.
+func (c *Core) SetPosition(p eventlog.Position) { c.position = p }
+
+// Put puts a document in force if it is newer, see Offer.
+func (c *Core) Put(d Decoded, source Source) Outcome {
+	next, outcome := d.config, InForce
 	switch {
 	case next.Version > c.Version():
-	case next.Version == c.Version() && source == FromLog && c.differs(data, next):
+	case next.Version == c.Version() && source == FromLog && c.differs(d.data, next):
 		outcome = Reissued
 	default:
-		return Old, nil
+		return Old
 	}
 	if c.reporter != nil {
 		c.reporter.Check(invariant.ConfigForward, next.Version >= c.Version(), "version %d after %d", next.Version, c.Version())
 	}
-	c.config, c.data = next, slices.Clone(data)
+	c.config, c.data, c.position = next, slices.Clone(d.data), d.position
+	c.encodedAs = 0
+	if c.assembly != nil && c.assembly.Version <= next.Version {
+		c.assembly = nil
+	}
 	c.nextRequest = time.Time{} // the next newer document may be requested at once
 	c.forgetNewer()
 	maps.DeleteFunc(c.announced, func(_ string, version int64) bool { return version <= next.Version })
 	if c.options.OnConfig != nil {
 		c.options.OnConfig(next)
 	}
-	return outcome, nil
+	return outcome
 }
 
 // differs reports whether a document has another content than the one in force. Two
@@ -196,59 +230,3 @@
 
 // NewerThan returns the document in force and whether it is newer than a version.
 func (c *Core) NewerThan(version int64) ([]byte, bool) { return c.data, c.Version() > version }
-
-// NewerPeer returns a random peer from which to request a newer document, at most
-// once each requestInterval. A peer of another failure domain is returned only when no
-// peer of the own domain has a newer document and one has been known for foreignDelay, or
-// when those of the own domain were asked: they may be lost. Without a document it
-// returns any peer, since the versions known of them may be out of date.
-func (c *Core) NewerPeer(now time.Time) (distribute.Peer, bool) {
-	own, foreign := c.newerPeers()
-	if len(own)+len(foreign) == 0 {
-		c.forgetNewer()
-		return distribute.Peer{}, false
-	}
-	if c.newerSince.IsZero() {
-		c.newerSince = now
-	}
-	notAsked := func(peers []distribute.Peer) []distribute.Peer {
-		return slices.DeleteFunc(slices.Clone(peers), func(p distribute.Peer) bool { return c.asked[p.Node] })
-	}
-	newer := notAsked(own)
-	if c.config == nil || len(newer) == 0 && (len(own) > 0 || now.Sub(c.newerSince) >= foreignDelay) {
-		newer = append(newer, notAsked(foreign)...)
-	}
-	if now.Before(c.nextRequest) {
-		return distribute.Peer{}, false
-	}
-	if len(newer) == 0 {
-		clear(c.asked) // the next requests begin with the own domain again
-		return distribute.Peer{}, false
-	}
-	c.nextRequest = now.Add(requestInterval)
-	c.requests++
-	p := newer[c.random.IntN(len(newer))]
-	c.asked[p.Node] = true
-	return p, true
-}
-
-// newerPeers returns the peers of the own failure domain and of the others that have a
-// newer document.
-func (c *Core) newerPeers() (own, foreign []distribute.Peer) {
-	for _, p := range c.peers {
-		switch {
-		case p.Version <= c.Version() && c.config != nil:
-		case p.Domain == c.options.Domain:
-			own = append(own, p)
-		default:
-			foreign = append(foreign, p)
-		}
-	}
-	return own, foreign
-}
-
-// forgetNewer begins the search for a newer document anew.
-func (c *Core) forgetNewer() {
-	c.newerSince, c.requests = time.Time{}, 0
-	clear(c.asked)
-}
