process/control: an overdue read of the log service goes on beside its repetition

Cause: a read that was overdue was ended and begun again from zero, and the repetition read the newest records, that is the whole document in base64. A peer's version ended the reads of all readers so, whether bytes arrived or not. A log service that needs 2.2 s for a response had none of its responses awaited. Change: further attempts run beside an overdue one, on new connections, and the first response counts; one whose bytes arrive is not overdue.

--- a/process/control/documents.go
+++ b/process/control/documents.go
@@ -69,7 +69,7 @@
 	// offering is held while a document is decoded and put in force, and taken before mu.
 	offering sync.Mutex
 
-	newestTook time.Duration // of the last successful read of the newest records; used by follow only
+	responseTime time.Duration // after which the log service began to respond to the last read without a wait
 }
 
 // LogStatus describes how a node gets the configuration from the log service.
@@ -172,7 +172,12 @@
 		if d.read != nil && a.source == document.FromPeer {
 			// The log service has the document, too, and would have ended the read.
 			read := d.read
-			time.AfterFunc(readGrace, func() { read.end(errOverdue) })
+			time.AfterFunc(readGrace, func() {
+				select {
+				case read.outdated <- struct{}{}:
+				default: // it is known already
+				}
+			})
 		}
 	}
 	d.mu.Unlock()
--- a/process/control/follow.go
+++ b/process/control/follow.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/hyssopsill/hyssopsill/connection/transfer"
 	"github.com/hyssopsill/hyssopsill/eventlog"
 	"github.com/hyssopsill/hyssopsill/request/record"
 	"github.com/hyssopsill/hyssopsill/version/distribute"
@@ -26,11 +25,16 @@
 	// reads of all readers at once.
 	minFollowWait = 300 * time.Millisecond
 	maxFollowWait = 20 * time.Second
-	// readGrace is how long a read may be overdue, besides twice the time that the last
-	// whole read took, before the node reads the newest records on another connection. A
-	// healthy log service responds in 4 ms. The timeout of a call (1 s) would use up the
+	// readGrace is how long a read may be overdue, besides twice the time in which the log
+	// service began its last response, before the node also reads on another connection.
+	// A healthy log service responds in 4 ms. The timeout of a call (1 s) would use up the
 	// time for forwarding.
 	readGrace = 300 * time.Millisecond
+	// attemptInterval is the time between further attempts of a read that is overdue.
+	attemptInterval = time.Second
+	// maxAttempts bounds the attempts of one read, and with attemptInterval the time for
+	// which an attempt may wait for a log service that responds slowly.
+	maxAttempts = 6
 	// checkInterval is the mean time between reads of a node that does not follow
 	// the table. Peers announce changes to it within about a second.
 	checkInterval = 15 * time.Second
@@ -47,44 +51,27 @@
 	maxRetryDelay = 800 * time.Millisecond
 )
 
-// openRead is a read of the log service that awaits a change.
-type openRead struct {
-	end  context.CancelCauseFunc
-	long bool // it may wait longer than maxWatchWait
-}
-
-// follow reads the table until ctx ends: with Follow on a reader, else with
-// Newest from time to time. Without a position it reads the newest records.
+// follow reads the table until ctx ends: with a wait for the next change on a reader, else
+// from time to time. Without a position it reads the newest records.
 func (d *Documents) follow(ctx context.Context) {
-	source := d.options.Source
-	var position eventlog.Position
-	known, retryDelay := false, minRetryDelay // whether position is known
+	var cursor logCursor
+	check, retryDelay := true, minRetryDelay // check: read without a wait
 	dependency := record.Dependency{Name: "log service (configuration)"}
 	for ctx.Err() == nil {
-		if role := d.observeRole(); known && !role.Reader {
+		if role := d.observeRole(); cursor.known && !check && !role.Reader {
 			d.waitForRole(ctx, checkInterval)
-			known = false
-		}
-		var entries []eventlog.TableEntry
-		var err error
-		if known {
-			entries, position, err = d.awaitChange(ctx, position)
-		} else {
-			entries, position, err = d.newest(ctx)
+			check = true
 		}
+		page, err := d.readLog(ctx, &cursor, check)
 		switch {
 		case errors.Is(err, errBecameWatcher):
 			continue
-		case errors.Is(err, errOverdue):
-			d.log.Info().Int64("version", d.version()).Msg("config: a read of the log service is overdue, reading the newest documents")
-			known = false
-			continue
 		case errors.Is(err, eventlog.ErrTrimmed):
-			known = false
+			cursor.lose()
 			continue
 		case errors.Is(err, eventlog.ErrRestored):
 			d.log.Warn().Err(err).Msg("config: the log service was restored, reading the newest documents")
-			known = false
+			cursor.lose()
 			sleep(ctx, time.Duration(rand.Int64N(int64(minRetryDelay)))) // all readers notice at the same time
 			continue
 		case err != nil && ctx.Err() != nil:
@@ -94,7 +81,7 @@
 			d.record(record.KindDependency, change)
 		}
 		d.observeRead(time.Now(), err)
-		if known = err == nil; !known { // read the newest records again: the log may have lost the history of this position
+		if check = err != nil; check {
 			repeated := retryDelay > minRetryDelay // one failed call may be the loss of its connection only
 			sleep(ctx, retryDelay/2+time.Duration(rand.Int64N(int64(retryDelay))))
 			retryDelay = min(2*retryDelay, maxRetryDelay)
@@ -104,57 +91,15 @@
 			continue
 		}
 		retryDelay = minRetryDelay
-		for _, e := range entries {
-			if e.Key == source.Key && len(e.Value) > 0 {
-				d.offer(arrival{data: e.Value, position: position, source: document.FromLog, sender: sourceLogService})
+		cursor.advance(page.next)
+		for _, e := range page.entries {
+			if e.Key == d.options.Source.Key && len(e.Value) > 0 {
+				d.offer(arrival{data: e.Value, position: page.next, source: document.FromLog, sender: sourceLogService})
 			}
 		}
 	}
 }
 
-// newest reads the newest records.
-func (d *Documents) newest(ctx context.Context) ([]eventlog.TableEntry, eventlog.Position, error) {
-	startedAt, t := time.Now(), d.transfers.Start(sourceLogService)
-	entries, position, err := d.options.Source.Tables.Newest(transfer.NewContext(ctx, t), d.options.Source.Table)
-	d.endTransfer(t, 0, err)
-	if err == nil {
-		d.newestTook = time.Since(startedAt)
-	}
-	return entries, position, err
-}
-
-var (
-	// errBecameWatcher ends a long read.
-	errBecameWatcher = errors.New("the node has become a watcher of the log service")
-	// errOverdue ends a read whose connection seems to have gone silent.
-	errOverdue = errors.New("the log service does not respond to a read")
-)
-
-// awaitChange reads the records after a position and waits until there is one. It
-// returns errBecameWatcher when the node's role no longer allows so long a wait, and
-// errOverdue when the log service does not respond in time.
-func (d *Documents) awaitChange(ctx context.Context, from eventlog.Position) ([]eventlog.TableEntry, eventlog.Position, error) {
-	readCtx, end := context.WithCancelCause(ctx)
-	defer end(nil)
-	d.mu.Lock()
-	watcher := d.core.Role().Watcher
-	d.read = &openRead{end: end, long: !watcher}
-	d.mu.Unlock()
-	wait := followWait(watcher)
-	overdue := time.AfterFunc(wait+readGrace+2*d.newestTook, func() { end(errOverdue) })
-	defer overdue.Stop()
-	t := d.transfers.Start(sourceLogService)
-	entries, next, err := d.options.Source.Tables.Follow(transfer.NewContext(readCtx, t), d.options.Source.Table, from, wait)
-	d.mu.Lock()
-	d.read = nil
-	d.mu.Unlock()
-	d.endTransfer(t, 0, err)
-	if cause := context.Cause(readCtx); err != nil && (errors.Is(cause, errBecameWatcher) || errors.Is(cause, errOverdue)) {
-		err = cause
-	}
-	return entries, next, err
-}
-
 // followWait returns a random time for which a reader waits for a change.
 func followWait(watcher bool) time.Duration {
 	shortest, longest := minFollowWait, maxFollowWait
--- a/process/control/readers_test.go
+++ b/process/control/readers_test.go
@@ -1,6 +1,7 @@
 package control_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -31,6 +32,24 @@
 	silent chan struct{} // closed when the service responds again; nil while it does
 	reads  int           // Follow calls begun
 	lost   int           // those of them that get no response
+	delay  time.Duration // of each response
+}
+
+// awaitResponse delays a response. It fails when the caller does not wait for it.
+func (p *partialTables) awaitResponse(ctx context.Context) error {
+	p.mu.Lock()
+	delay := p.delay
+	p.mu.Unlock()
+	patience := cmp.Or(eventlog.CallOptionsOf(ctx).ResponseTimeout, callTimeout)
+	select {
+	case <-ctx.Done():
+		return eventlog.ErrUnavailable
+	case <-time.After(min(delay, patience)):
+	}
+	if delay > patience {
+		return eventlog.ErrUnavailable
+	}
+	return nil
 }
 
 // silenceConnection lets a Follow call in progress get no response.
@@ -85,12 +104,18 @@
 	if err := p.await(ctx, 0); err != nil {
 		return nil, eventlog.Position{}, err
 	}
+	if err := p.awaitResponse(ctx); err != nil {
+		return nil, eventlog.Position{}, err
+	}
 	return p.Service.Newest(ctx, table)
 }
 
 func (p *partialTables) Follow(ctx context.Context, table string, from eventlog.Position, wait time.Duration) ([]eventlog.TableEntry, eventlog.Position, error) {
 	startedAt, read := time.Now(), p.beginRead()
 	entries, next, err := p.Service.Follow(ctx, table, from, wait)
+	if err := p.awaitResponse(ctx); err != nil {
+		return nil, from, err
+	}
 	if p.isLost(read) {
 		select {
 		case <-ctx.Done():
@@ -234,6 +259,21 @@
 	}
 }
 
+// Guards against reads that are ended, and begun again, although the log service responds
+// to them late.
+func TestSlowLogServiceIsFollowed(t *testing.T) {
+	f := startReadingFleet(t, 3, 3)
+	for _, n := range f.nodes {
+		n.tables.mu.Lock()
+		n.tables.delay = 2200 * time.Millisecond
+		n.tables.mu.Unlock()
+	}
+	for version := 2; version <= 4; version++ {
+		f.publish(t, version)
+		waitFor(t, 6*time.Second, fmt.Sprint("version ", version, " has been read"), f.hasVersion(version))
+	}
+}
+
 // Guards against readers of a large fleet that keep their duty while the log service
 // does not respond to them, and others could read.
 func TestOtherNodesReadInPlaceOfSilentReaders(t *testing.T) {
