process/control: an empty table is read once

Change: positions that the log service returns are taken as they are. Result: TestEmptyTableIsReadOnce failed before and passes.

--- a/process/control/documents_test.go
+++ b/process/control/documents_test.go
@@ -97,3 +97,14 @@
 		t.Fatalf("a peer with an older version gets %+v, %v", response, err)
 	}
 }
+
+// Guards against reads without a pause while nothing has been published.
+func TestEmptyTableIsReadOnce(t *testing.T) {
+	f := startDocumentFleet(t, 1, 1)
+	time.Sleep(time.Second)
+	f.nodes[0].tables.mu.Lock()
+	defer f.nodes[0].tables.mu.Unlock()
+	if n := f.nodes[0].tables.newest; n != 1 {
+		t.Errorf("the newest records were read %d times, want once", n)
+	}
+}
--- a/process/control/follow.go
+++ b/process/control/follow.go
@@ -91,7 +91,7 @@
 			continue
 		}
 		retryDelay = minRetryDelay
-		cursor.advance(page.next)
+		cursor.set(page.next)
 		for _, e := range page.entries {
 			if e.Key == d.options.Source.Key && len(e.Value) > 0 {
 				d.offer(arrival{data: e.Value, position: page.next, source: document.FromLog, sender: sourceLogService})
--- a/process/control/logread.go
+++ b/process/control/logread.go
@@ -16,12 +16,16 @@
 	unusable eventlog.Position // that the log service no longer has; zero without one
 }
 
-// advance moves the cursor to a position that is known to be later.
+// set moves the cursor to the position that the log service returned.
+func (c *logCursor) set(p eventlog.Position) { c.position, c.known = p, true }
+
+// advance moves the cursor to the position after the document in force, if that is known
+// and later.
 func (c *logCursor) advance(p eventlog.Position) {
 	if p == (eventlog.Position{}) || p == c.unusable || c.known && p.Era == c.position.Era && p.Offset <= c.position.Offset {
 		return
 	}
-	c.position, c.known = p, true
+	c.set(p)
 }
 
 // lose notes that the log service cannot be read from the position.
--- a/process/control/readers_test.go
+++ b/process/control/readers_test.go
@@ -31,6 +31,7 @@
 	mu     sync.Mutex
 	silent chan struct{} // closed when the service responds again; nil while it does
 	reads  int           // Follow calls begun
+	newest int           // Newest calls begun
 	lost   int           // those of them that get no response
 	delay  time.Duration // of each response
 }
@@ -101,6 +102,9 @@
 }
 
 func (p *partialTables) Newest(ctx context.Context, table string) ([]eventlog.TableEntry, eventlog.Position, error) {
+	p.mu.Lock()
+	p.newest++
+	p.mu.Unlock()
 	if err := p.await(ctx, 0); err != nil {
 		return nil, eventlog.Position{}, err
 	}
