process/entry: an outdated node does not deny a request for good

Cause: a node answered by the version in force without regard to newer ones that it had heard of. Change: while a peer has a newer version, or this node is still decoding one, a request without a matching route or a known API key gets 503 with Retry-After and the reason config-outdated. The same in the project's own interface. A version whose document this node refused does not count.

--- a/process/control/configuration.go
+++ b/process/control/configuration.go
@@ -250,6 +250,13 @@
 	return c.core.Version()
 }
 
+// Outdated reports whether a newer version than the one in force is known.
+func (c *Configuration) Outdated() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.core.Outdated()
+}
+
 // LogStatus returns how this node gets the configuration from the log.
 func (c *Configuration) LogStatus() LogStatus {
 	c.mu.Lock()
--- a/process/control/documents.go
+++ b/process/control/documents.go
@@ -114,6 +114,13 @@
 	}
 }
 
+// Outdated reports whether a newer version than the one in force is known.
+func (d *Documents) Outdated() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Outdated()
+}
+
 // LogStatus returns how this node gets the configuration from the log service.
 func (d *Documents) LogStatus() LogStatus {
 	d.mu.Lock()
--- a/process/entry/account.go
+++ b/process/entry/account.go
@@ -26,7 +26,7 @@
 	q.account = decision.Account
 	q.setCustomer()
 	if !decision.Admitted {
-		q.refuse(attempt.NotRun, attempt.ReasonUnauthenticated, decision.Why, 0)
+		q.refuseByConfig(attempt.ReasonUnauthenticated, decision.Why)
 	}
 	return decision.Admitted
 }
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -83,6 +83,10 @@
 	Quarantined func(poison.Request) bool
 	OnCrash     func(poison.Reports)
 
+	// ConfigOutdated reports whether this node knows of a newer configuration than the one
+	// in force. Default never.
+	ConfigOutdated func() bool
+
 	noVerify bool // for tests: responses of gates are not verified
 }
 
@@ -166,6 +170,9 @@
 	if o.Quarantined == nil {
 		o.Quarantined = func(poison.Request) bool { return false }
 	}
+	if o.ConfigOutdated == nil {
+		o.ConfigOutdated = func() bool { return false }
+	}
 	if o.OnCrash == nil {
 		o.OnCrash = func(poison.Reports) {}
 	}
--- a/process/entry/request.go
+++ b/process/entry/request.go
@@ -119,7 +119,7 @@
 		return
 	}
 	if reason, err := q.route(); err != nil {
-		q.refuse(attempt.NotRun, reason, err.Error(), 0)
+		q.refuseByConfig(reason, err.Error())
 		return
 	}
 	if !q.admitAccount(q.match.Route.Public) {
@@ -357,6 +357,21 @@
 	}
 }
 
+// outdatedRetryDelay is about the time in which a node gets a configuration that it has
+// heard of.
+const outdatedRetryDelay = 500 * time.Millisecond
+
+// refuseByConfig refuses a request that the configuration does not allow. While this node
+// knows of a newer one that it does not have yet, that is not certain, and the caller may
+// try again.
+func (q *request) refuseByConfig(reason attempt.Reason, detail string) {
+	if (reason == attempt.ReasonNoRoute || reason == attempt.ReasonUnauthenticated) && q.entry.options.ConfigOutdated() {
+		q.refuse(attempt.NotRun, attempt.ReasonConfigOutdated, "this node does not have the newest configuration yet: "+detail, outdatedRetryDelay)
+		return
+	}
+	q.refuse(attempt.NotRun, reason, detail, 0)
+}
+
 const (
 	maxDiscardBytes = 8 << 20
 	maxDiscardTime  = time.Second
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -179,7 +179,8 @@
 		Now: n.now, Rand: newRand(), Log: n.log, Reporter: n.metrics.Invariants, LogService: n.options.LogService,
 		Record: n.record, OnRequestEnd: n.metrics.ObserveRequest, Quarantined: n.gate.Quarantined,
 		HostRetryShare: n.gate.RetryShare, HostRank: n.gate.MostUrgentRank, OnCalledRoom: n.gate.NoteCalledRoom, OnFailedRequest: n.gate.NoteFailedCall, OnCallRefused: n.gate.NoteRefusedCall,
-		OnCrash: n.gate.MergePoison, OnAccountRefused: func() { n.metrics.Add("account_refused", 1) },
+		ConfigOutdated: func() bool { return n.config.Outdated() },
+		OnCrash:        n.gate.MergePoison, OnAccountRefused: func() { n.metrics.Add("account_refused", 1) },
 		AccountBounds: quota.Bounds{Window: s.Defaults.AccountWindow, Overage: s.Defaults.AccountOverage, Slack: s.Defaults.AccountSlack},
 	})
 	n.gate.SetQuota(n.entry.PeerQuota())
@@ -314,6 +315,8 @@
 	Document(ctx context.Context, r *controlpb.DocumentRequest, send func(*controlpb.DocumentPart) error) error
 	Snapshot(ctx context.Context, newerThan int64) ([]byte, error)
 	LogStatus() control.LogStatus
+	// Outdated reports whether another node is known to have a newer version.
+	Outdated() bool
 }
 
 // logStatusMetric is the metric config_log.
--- a/request/attempt/outcome.go
+++ b/request/attempt/outcome.go
@@ -40,6 +40,7 @@
 	ReasonResponseCorrupt     Reason = "answer-corrupt"
 	ReasonWithdrawn           Reason = "withdrawn"
 	ReasonNotReady            Reason = "not-ready"
+	ReasonConfigOutdated      Reason = "config-outdated" // the entry knows of a newer configuration, which may allow the request
 	ReasonUnauthorized        Reason = "unauthorized"
 	ReasonUnauthenticated     Reason = "unauthenticated" // no API key of an account
 	ReasonIncarnationMismatch Reason = "incarnation-mismatch"
--- a/request/record/sentence.go
+++ b/request/record/sentence.go
@@ -223,6 +223,7 @@
 	attempt.ReasonResponseCorrupt:     "the digest or length of the response did not match",
 	attempt.ReasonWithdrawn:           "the attempt was withdrawn",
 	attempt.ReasonNotReady:            "the node was not ready",
+	attempt.ReasonConfigOutdated:      "the node knew of a newer configuration that it did not have yet",
 	attempt.ReasonUnauthenticated:     "the request had no API key of an account and its route is not public",
 	attempt.ReasonUnauthorized:        "the fleet token did not match",
 	attempt.ReasonNodeStopping:        "the entry's node stopped before the response arrived",
--- a/version/distribute/core.go
+++ b/version/distribute/core.go
@@ -208,6 +208,11 @@
 // Config returns the configuration in force.
 func (c *Core) Config() *config.Config { return c.state.Config() }
 
+// Outdated reports whether a peer has a newer version than the one in force.
+func (c *Core) Outdated() bool {
+	return slices.ContainsFunc(c.peers, func(p Peer) bool { return p.Version > c.state.Version() })
+}
+
 // Version returns the version in force and the offset of the last record applied.
 func (c *Core) Version() (version, offset int64) { return c.state.Version(), c.state.Offset() }
 
--- a/version/document/announce_test.go
+++ b/version/document/announce_test.go
@@ -153,3 +153,32 @@
 		}
 	}
 }
+
+// Guards against a node that takes its configuration for the newest one while a peer has a
+// newer one, and against one that never does so after it refused a document.
+func TestOutdatedUntilNewestIsInForce(t *testing.T) {
+	c := newCore(nil)
+	offer := func(data string) {
+		if _, err := c.Offer([]byte(data), FromPeer); err != nil {
+			t.Fatal(err)
+		}
+	}
+	offer("5")
+	c.SetPeers([]distribute.Peer{{Node: "n1", Version: 5}})
+	if c.Outdated() {
+		t.Error("outdated with the version of all peers")
+	}
+	c.SetPeers([]distribute.Peer{{Node: "n1", Version: 6}})
+	if !c.Outdated() {
+		t.Error("not outdated although a peer has version 6")
+	}
+	offer("6")
+	if c.Outdated() {
+		t.Error("outdated with version 6 in force")
+	}
+	c.SetPeers([]distribute.Peer{{Node: "n1", Version: 7}})
+	c.RefuseChunks(7)
+	if _, ok := c.NewerPeer(time.Unix(1, 0)); ok || c.Outdated() {
+		t.Error("requests version 7 again although its document was refused")
+	}
+}
--- a/version/document/core.go
+++ b/version/document/core.go
@@ -116,6 +116,13 @@
 	return c.config.Version
 }
 
+// Outdated reports whether a newer version than the one in force is known: a peer has it,
+// or this node has not decoded it yet.
+func (c *Core) Outdated() bool {
+	newer := func(version int64) bool { return version > max(c.Version(), c.refused) }
+	return c.chunked != nil && newer(c.chunked.Version) || slices.ContainsFunc(c.peers, func(p distribute.Peer) bool { return newer(p.Version) })
+}
+
 // SetPeers replaces the peers by those that membership reports.
 func (c *Core) SetPeers(peers []distribute.Peer) {
 	c.peers = slices.DeleteFunc(slices.Clone(peers), func(p distribute.Peer) bool { return p.Node == c.options.Node })
