version/distribute: large pushes are replaced, too

A push of more than 64 KB was not replaced when its peer did not respond, since the limit of 0.5 s for the whole could not tell a lost peer from a slow link. Change: the limit applies to the time without any bytes, and to pushes of all sizes. Result: TestChangeReachesRunningNodesWhenMostAreLost with a change of 180 KB failed before and passes.

--- a/process/control/configuration.go
+++ b/process/control/configuration.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/hyssopsill/hyssopsill/connection/transfer"
 	"github.com/hyssopsill/hyssopsill/eventlog"
 	"github.com/hyssopsill/hyssopsill/process/control/controlpb"
 	"github.com/hyssopsill/hyssopsill/process/periodic"
@@ -137,11 +138,9 @@
 		c.withCore(func(core *distribute.Core) []distribute.Action { return core.ChangeAppended(time.Now(), err) })
 	case distribute.Push:
 		request := &controlpb.ConfigurationRequest{From: c.options.Distribute.Node, Entries: toEntries(a.Records)}
-		if timeout := a.ReplacedAfter(); timeout > 0 {
-			var cancel context.CancelFunc
-			ctx, cancel = context.WithTimeout(ctx, timeout)
-			defer cancel()
-		}
+		t := transfer.New("")
+		ctx, cancel := t.EndWhenIdle(transfer.NewContext(ctx, t), distribute.PushTimeout, distribute.PushTimeout)
+		defer cancel()
 		if _, err := client.Configuration(ctx, a.Peer.Address, request); err != nil {
 			c.withCore(func(core *distribute.Core) []distribute.Action { return core.PushFailed(a) })
 		}
--- a/version/distribute/core.go
+++ b/version/distribute/core.go
@@ -37,12 +37,11 @@
 	maxRecentBytes   = 1 << 20
 	gapFillInterval  = time.Second
 
-	// A push of up to maxReplacedBytes that fails, or gets no response within pushTimeout,
-	// is replaced by pushReplacements, so that a few rounds find the nodes that run when
-	// most are lost. maxPushes bounds the pushes of the same records by one node, as peers
-	// that are overloaded respond late.
-	maxReplacedBytes = 64 << 10
-	pushTimeout      = 500 * time.Millisecond
+	// A push that fails, or of which no bytes move for PushTimeout, is replaced by
+	// pushReplacements, so that a few rounds find the nodes that run when most are lost.
+	// maxPushes bounds the pushes of the same records by one node, as peers that are
+	// overloaded respond late.
+	PushTimeout      = 500 * time.Millisecond
 	pushReplacements = 2
 	maxPushes        = 12 * DefaultFanOut
 
@@ -108,8 +107,8 @@
 
 // Action is a call that the I/O layer makes. It passes the result to the method
 // for the kind: LogRead, SnapshotRead, RecordsReceived, SnapshotReceived,
-// SnapshotWritten, ChangeAppended, or PushFailed if a Push got no response within
-// ReplacedAfter. Offsets of Records, and After except that of ReadLog, are versions, which
+// SnapshotWritten, ChangeAppended, or PushFailed if no bytes of a Push moved for
+// PushTimeout before its response. Offsets of Records, and After except that of ReadLog, are versions, which
 // name the era.
 type Action struct {
 	Kind    Kind
@@ -125,16 +124,6 @@
 type push struct {
 	candidates []Peer // not chosen yet, in random order
 	sent       int
-	large      bool // peers that do not respond within pushTimeout may still be receiving it
-}
-
-// ReplacedAfter returns the time after which a Push without a response has failed, so that
-// other peers get the records soon in its place; zero without such a time.
-func (a Action) ReplacedAfter() time.Duration {
-	if a.push == nil || a.push.large {
-		return 0
-	}
-	return pushTimeout
 }
 
 // Core holds the configuration state of one node and decides how the node keeps
@@ -498,7 +487,7 @@
 	if c.options.noFanOut || size > maxRecentBytes {
 		return nil
 	}
-	p := &push{large: size > maxReplacedBytes}
+	p := &push{}
 	for _, i := range c.random.Perm(len(c.peers)) {
 		if c.peers[i].Node != from {
 			p.candidates = append(p.candidates, c.peers[i])
@@ -521,7 +510,7 @@
 // PushFailed processes a Push that got no response. Other peers take the place of its
 // peer, which may be lost like many others that membership still reports.
 func (c *Core) PushFailed(a Action) []Action {
-	if c.options.noReplacement || a.push.large {
+	if c.options.noReplacement {
 		return nil
 	}
 	return a.push.next(a.Records, pushReplacements)
--- a/version/distribute/core_test.go
+++ b/version/distribute/core_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"os"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -65,6 +66,7 @@
 // sim runs cores against the stand-in log in virtual time. Calls between nodes
 // take 20 ms, calls to the log take logDelay.
 type sim struct {
+	services     int // that append adds to a change
 	now          time.Time
 	random       *rand.Rand
 	reportRandom *rand.Rand
@@ -227,7 +229,7 @@
 	p := s.nodes[i]
 	if !s.canReach(n, p) || !s.canReach(p, n) {
 		if a.Kind == Push {
-			s.call(n, pushTimeout, func() []Action { return n.PushFailed(a) })
+			s.call(n, PushTimeout, func() []Action { return n.PushFailed(a) })
 			return
 		}
 		s.call(n, time.Second, func() []Action {
@@ -257,7 +259,11 @@
 		t.Fatal(err)
 	}
 	edit := config.Edit{Object: config.ObjectCustomers, BaseVersion: s.logState.ObjectVersion(config.ObjectCustomers), Value: "customer_header = \"X-" + id + "\""}
-	data, err := config.Change{ChangeID: id, Author: "ana", Edits: []config.Edit{edit}}.Encode()
+	edits := []config.Edit{edit}
+	for i := range s.services { // of 60 KB each
+		edits = append(edits, config.Edit{Object: fmt.Sprint("services/s", i), Value: "max_rate = 1.0\n[classes.c]\n#" + strings.Repeat("x", 60<<10)})
+	}
+	data, err := config.Change{ChangeID: id, Author: "ana", Edits: edits}.Encode()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -314,21 +320,24 @@
 // Guards against a change that reaches few of the nodes that run when most are lost, since
 // pushes to lost nodes are not replaced.
 func TestChangeReachesRunningNodesWhenMostAreLost(t *testing.T) {
-	testWithAndWithout(t, Options{noReplacement: true}, func(t *testing.T, o Options) bool {
-		s := newSim(5, 90, o)
-		s.append(t, "first")
-		s.run(time.Minute)
-		reader := slices.IndexFunc(s.nodes, func(n *simNode) bool { return n.IsReader() })
-		for i, n := range s.nodes {
-			if i != reader && i%8 > 0 {
-				n.pausedUntil = s.now.Add(time.Minute) // membership still reports it
+	for _, services := range []int{0, 3} { // the change has 60 KB for each
+		testWithAndWithout(t, Options{noReplacement: true}, func(t *testing.T, o Options) bool {
+			s := newSim(5, 90, o)
+			s.append(t, "first")
+			s.run(time.Minute)
+			reader := slices.IndexFunc(s.nodes, func(n *simNode) bool { return n.IsReader() })
+			for i, n := range s.nodes {
+				if i != reader && i%8 > 0 {
+					n.pausedUntil = s.now.Add(time.Minute) // membership still reports it
+				}
 			}
-		}
-		version := s.append(t, "second")
-		s.run(5 * time.Second)
-		t.Logf("%d of %d running nodes behind after 5 s", len(s.nodesBehind(version)), len(slices.DeleteFunc(slices.Clone(s.nodes), func(n *simNode) bool { return !s.running(n) })))
-		return len(s.nodesBehind(version)) > 0
-	})
+			s.services = services
+			version := s.append(t, "second")
+			s.run(5 * time.Second)
+			t.Logf("%d services: %d of %d running nodes behind after 5 s", services, len(s.nodesBehind(version)), len(slices.DeleteFunc(slices.Clone(s.nodes), func(n *simNode) bool { return !s.running(n) })))
+			return len(s.nodesBehind(version)) > 0
+		})
+	}
 }
 
 // Guards against a node that stays behind because no push reached it or because it
