process/control: readers wait short after a change, and new watchers read at once

All four watchers were frozen. A version 0.1 s before the silence had ended the reads of all other readers, whose next reads waited for up to 20 s on silent connections. Nodes that became readers in their place at 9.66 to 9.69 read on a silent connection first. Change: after a change readers wait for at most 4 s, and twice as long each time while nothing changes, up to the 20 s before. A node that becomes a watcher reads at once on a new connection.

--- a/process/control/follow.go
+++ b/process/control/follow.go
@@ -20,11 +20,14 @@
 	// must be in force everywhere (2.5 s) for forwarding it.
 	minWatchWait = 600 * time.Millisecond
 	maxWatchWait = time.Second
-	// The other readers wait between minFollowWait and maxFollowWait, as calls are paid
-	// for and the watchers announce changes. The times vary, since a change ends the
-	// reads of all readers at once.
-	minFollowWait = 300 * time.Millisecond
-	maxFollowWait = 20 * time.Second
+	// The other readers wait for random times from minFollowWait, as calls are paid for and
+	// the watchers announce changes. A change ends the reads of all readers at once, and
+	// with many nodes the watchers may be lost when their connections go silent, so the
+	// longest wait is followWaitAfterChange at first and doubles up to maxFollowWait while
+	// nothing changes.
+	minFollowWait         = 300 * time.Millisecond
+	followWaitAfterChange = 4 * time.Second
+	maxFollowWait         = 20 * time.Second
 	// readGrace is how long a read may be overdue, besides twice the time in which the log
 	// service began its last response, before the node also reads on another connection.
 	// A healthy log service responds in 4 ms. The timeout of a call (1 s) would use up the
@@ -55,16 +58,19 @@
 // from time to time. Without a position it reads the newest records.
 func (d *Documents) follow(ctx context.Context) {
 	var cursor logCursor
-	check, retryDelay := true, minRetryDelay // check: read without a wait
+	options := readOptions{check: true, longestWait: followWaitAfterChange}
+	retryDelay := minRetryDelay
 	dependency := record.Dependency{Name: "log service (configuration)"}
 	for ctx.Err() == nil {
-		if role := d.observeRole(); cursor.known && !check && !role.Reader {
+		if role := d.observeRole(); cursor.known && !options.check && !role.Reader {
 			d.waitForRole(ctx, checkInterval)
-			check = true
+			options.check = true
 		}
-		page, err := d.readLog(ctx, &cursor, check)
+		before := cursor.position
+		page, err := d.readLog(ctx, &cursor, options)
 		switch {
-		case errors.Is(err, errBecameWatcher):
+		case errors.Is(err, errBecameWatcher): // the watchers before it may be lost, and the connection silent
+			options.check, options.newConnection = true, true
 			continue
 		case errors.Is(err, eventlog.ErrTrimmed):
 			cursor.lose()
@@ -81,7 +87,8 @@
 			d.record(record.KindDependency, change)
 		}
 		d.observeRead(time.Now(), err)
-		if check = err != nil; check {
+		options.newConnection = false
+		if options.check = err != nil; options.check {
 			repeated := retryDelay > minRetryDelay // one failed call may be the loss of its connection only
 			sleep(ctx, retryDelay/2+time.Duration(rand.Int64N(int64(retryDelay))))
 			retryDelay = min(2*retryDelay, maxRetryDelay)
@@ -92,6 +99,9 @@
 		}
 		retryDelay = minRetryDelay
 		cursor.set(page.next)
+		if options.longestWait = min(2*options.longestWait, maxFollowWait); page.next != before {
+			options.longestWait = followWaitAfterChange
+		}
 		for _, e := range page.entries {
 			if e.Key == d.options.Source.Key && len(e.Value) > 0 {
 				d.offer(arrival{data: e.Value, position: page.next, source: document.FromLog, sender: sourceLogService})
@@ -101,8 +111,8 @@
 }
 
 // followWait returns a random time for which a reader waits for a change.
-func followWait(watcher bool) time.Duration {
-	shortest, longest := minFollowWait, maxFollowWait
+func followWait(watcher bool, longest time.Duration) time.Duration {
+	shortest := minFollowWait
 	if watcher {
 		shortest, longest = minWatchWait, maxWatchWait
 	}
--- a/process/control/forward_test.go
+++ b/process/control/forward_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -217,3 +218,28 @@
 		waitFor(t, applyTime, n.peer.Node+" reads the log service again", func() bool { return n.LogStatus().LastRead.After(publishedAt) })
 	}
 }
+
+// Guards against a version that no node reads in time when the watchers are frozen, all
+// connections to the log service have gone silent, and the other readers have just begun
+// to wait for the next change.
+func TestVersionIsReadWhileWatchersAreFrozen(t *testing.T) {
+	for fleet := range 8 { // reads wait for random times
+		t.Run(fmt.Sprint("fleet ", fleet), func(t *testing.T) {
+			t.Parallel()
+			f := startReadingFleet(t, 24, 1)
+			frozen := slices.Concat(f.watchers(), f.nodes)[:12] // membership has not noticed it
+			for _, n := range frozen {
+				f.mu.Lock()
+				f.frozen[n.peer.Node] = true
+				f.mu.Unlock()
+				n.tables.setSilent(true)
+			}
+			f.silenceConnections()
+			f.publish(t, 2)
+			running := slices.DeleteFunc(slices.Clone(f.nodes), func(n *documentNode) bool { return slices.Contains(frozen, n) })
+			waitFor(t, applyTime, "a node that runs has read the version", func() bool {
+				return slices.ContainsFunc(running, func(n *documentNode) bool { return n.hasVersion(2)() })
+			})
+		})
+	}
+}
--- a/process/control/logread.go
+++ b/process/control/logread.go
@@ -55,21 +55,28 @@
 	err  error
 }
 
+// readOptions configure a read.
+type readOptions struct {
+	check         bool          // do not wait for a record
+	newConnection bool          // the kept ones may have gone silent
+	longestWait   time.Duration // of a node that is no watcher
+}
+
 // readLog reads the records after the cursor, or the newest ones without a position. It
-// waits until there is a record, unless check is set. The connection of an attempt that
+// waits until there is a record, unless the options say otherwise. The connection of an attempt that
 // gets no response may have gone silent, or the log service may be slow: further attempts
 // run beside it, and the first response counts. It returns errBecameWatcher when the
 // node's role no longer allows so long a wait.
-func (d *Documents) readLog(ctx context.Context, cursor *logCursor, check bool) (logPage, error) {
+func (d *Documents) readLog(ctx context.Context, cursor *logCursor, o readOptions) (logPage, error) {
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
 	read := &openRead{end: end, outdated: make(chan struct{}, 1)}
 	wait := time.Duration(0)
 	d.mu.Lock()
 	cursor.advance(d.core.Position())
-	if cursor.known && !check {
+	if cursor.known && !o.check {
 		watcher := d.core.Role().Watcher
-		wait, read.long = followWait(watcher), !watcher
+		wait, read.long = followWait(watcher, o.longestWait), !watcher
 	}
 	d.read = read
 	grace := readGrace + 2*d.responseTime
@@ -89,7 +96,7 @@
 		}
 		return t
 	}
-	first := begin(wait, false)
+	first := begin(wait, o.newConnection)
 	overdue := time.NewTimer(wait + grace)
 	defer overdue.Stop()
 	for {
--- a/process/control/readers_test.go
+++ b/process/control/readers_test.go
@@ -141,6 +141,7 @@
 
 	mu     sync.Mutex
 	access map[string]distribute.Access
+	frozen map[string]bool // nodes that report nothing any longer
 }
 
 type documentNode struct {
@@ -159,7 +160,7 @@
 }
 
 func newDocumentFleet(nodes, domains int) *documentFleet {
-	f := &documentFleet{log: logservice.New(logservice.Options{MaxRecordBytes: 1 << 20}), access: map[string]distribute.Access{}}
+	f := &documentFleet{log: logservice.New(logservice.Options{MaxRecordBytes: 1 << 20}), access: map[string]distribute.Access{}, frozen: map[string]bool{}}
 	decode := func(data []byte) (*config.Config, error) {
 		first, _, _ := strings.Cut(string(data), "\n")
 		version, err := strconv.ParseInt(first, 10, 64)
@@ -200,7 +201,9 @@
 func (f *documentFleet) setAccess(node string, a distribute.Access) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.access[node] = a
+	if !f.frozen[node] {
+		f.access[node] = a
+	}
 }
 
 func (f *documentFleet) peers() ([]distribute.Peer, bool) {
