process/control: the read of the log service in short steps

Moves the attempts of a read into a type and the steps of an offered document into functions; the result of an overdue read is recorded like that of one that failed; a position of an earlier era is never taken for a later one. Tests for peers of an earlier program and for documents above the limit.

--- a/connection/transfer/transfer.go
+++ b/connection/transfer/transfer.go
@@ -72,31 +72,20 @@
 	return time.Since(t.startedAt) - time.Duration(t.movedAt.Load())
 }
 
-// Reader returns a reader that adds what it reads.
-func (t *Transfer) Reader(r io.Reader) io.Reader { return reader{r, t} }
-
-type reader struct {
-	io.Reader
-	transfer *Transfer
-}
-
-func (r reader) Read(p []byte) (int, error) {
-	n, err := r.Reader.Read(p)
-	r.transfer.Received(n)
-	return n, err
-}
+// Reader returns a reader of a response, whose bytes it adds.
+func (t *Transfer) Reader(r io.Reader) io.Reader { return countingReader{r, t.Received} }
 
 // SentReader returns a reader of a body that is sent, whose reads count as progress.
-func (t *Transfer) SentReader(r io.Reader) io.Reader { return sentReader{r, t} }
+func (t *Transfer) SentReader(r io.Reader) io.Reader { return countingReader{r, t.Sent} }
 
-type sentReader struct {
+type countingReader struct {
 	io.Reader
-	transfer *Transfer
+	count func(n int)
 }
 
-func (r sentReader) Read(p []byte) (int, error) {
+func (r countingReader) Read(p []byte) (int, error) {
 	n, err := r.Reader.Read(p)
-	r.transfer.Sent(n)
+	r.count(n)
 	return n, err
 }
 
--- a/process/control/documents.go
+++ b/process/control/documents.go
@@ -62,10 +62,12 @@
 	mu     sync.Mutex
 	core   *document.Core
 	status LogStatus
-	read   *openRead // that awaits a change; nil without one
+	read   *logRead // in progress; nil without one
 	// fetches ends the transfers in progress, by peer.
 	fetches map[string]context.CancelCauseFunc
 
+	dependency record.Dependency // used by follow and what it calls only
+
 	// offering is held while a document is decoded and put in force, and taken before mu.
 	offering sync.Mutex
 
@@ -88,7 +90,7 @@
 // NewDocuments returns the service of one node.
 func NewDocuments(o DocumentOptions) *Documents {
 	return &Documents{options: o, calls: newCallGroup(), log: o.Log, transfers: transfer.NewStats(), core: document.New(o.Core, o.Random, o.Reporter),
-		fetches: map[string]context.CancelCauseFunc{}}
+		fetches: map[string]context.CancelCauseFunc{}, dependency: record.Dependency{Name: "log service (configuration)"}}
 }
 
 // Serve reads documents from the table and from peers until ctx ends. The document
@@ -153,20 +155,35 @@
 		return
 	}
 	arrivedAt := time.Now()
+	decoded, err := d.decode(a)
+	if err != nil {
+		d.refuse(a, err)
+		return
+	}
+	d.put(a, decoded, arrivedAt)
+}
+
+func (d *Documents) decode(a arrival) (document.Decoded, error) {
 	decoded, err := d.core.Decode(a.data, a.position)
 	if err == nil && a.shared > 0 && decoded.Version() != a.shared {
 		err = fmt.Errorf("it has version %d, its manifest names %d", decoded.Version(), a.shared)
 	}
-	if err != nil {
-		if a.shared > 0 {
-			d.mu.Lock()
-			d.core.RefuseChunks(a.shared)
-			d.mu.Unlock()
-		}
-		d.record(record.KindVersion, record.Change{Subject: "document", From: strconv.FormatInt(d.version(), 10), To: "unchanged",
-			Why: "the document from " + a.sender + " is refused: " + err.Error()})
-		return
+	return decoded, err
+}
+
+// refuse records why a document is not put in force, and withdraws it from peers.
+func (d *Documents) refuse(a arrival, why error) {
+	if a.shared > 0 {
+		d.mu.Lock()
+		d.core.RefuseChunks(a.shared)
+		d.mu.Unlock()
 	}
+	d.record(record.KindVersion, record.Change{Subject: "document", From: strconv.FormatInt(d.version(), 10), To: "unchanged",
+		Why: "the document from " + a.sender + " is refused: " + why.Error()})
+}
+
+// put puts a valid document in force if it is newer, and shares it.
+func (d *Documents) put(a arrival, decoded document.Decoded, arrivedAt time.Time) {
 	now := time.Now()
 	d.mu.Lock()
 	known, previous := d.core.Arrival(), d.core.Version()
@@ -177,14 +194,7 @@
 		d.status.Sender, d.status.InForceSince = a.sender, now
 		d.endFetches()
 		if d.read != nil && a.source == document.FromPeer {
-			// The log service has the document, too, and would have ended the read.
-			read := d.read
-			time.AfterFunc(readGrace, func() {
-				select {
-				case read.outdated <- struct{}{}:
-				default: // it is known already
-				}
-			})
+			d.read.noteOutdated()
 		}
 	}
 	d.mu.Unlock()
--- a/process/control/follow.go
+++ b/process/control/follow.go
@@ -60,7 +60,6 @@
 	var cursor logCursor
 	options := readOptions{check: true, longestWait: followWaitAfterChange}
 	retryDelay := minRetryDelay
-	dependency := record.Dependency{Name: "log service (configuration)"}
 	for ctx.Err() == nil {
 		if role := d.observeRole(); cursor.known && !options.check && !role.Reader {
 			d.waitForRole(ctx, checkInterval)
@@ -83,9 +82,6 @@
 		case err != nil && ctx.Err() != nil:
 			return
 		}
-		if change, ok := dependency.Observe(err); ok {
-			d.record(record.KindDependency, change)
-		}
 		d.observeRead(time.Now(), err)
 		options.newConnection = false
 		if options.check = err != nil; options.check {
@@ -136,9 +132,12 @@
 	return role
 }
 
-// observeRead notes the result of a call and reports whether the node can read the
-// table when that has changed.
+// observeRead notes the result of a read, and reports and records whether the node can
+// read the table when that has changed. Only follow and what it calls may call it.
 func (d *Documents) observeRead(now time.Time, err error) {
+	if change, ok := d.dependency.Observe(err); ok {
+		d.record(record.KindDependency, change)
+	}
 	access := distribute.AccessUsable
 	if err != nil {
 		access = distribute.AccessLost
--- a/process/control/large_document_test.go
+++ b/process/control/large_document_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -10,6 +11,9 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/hyssopsill/hyssopsill/process/control"
+	"github.com/hyssopsill/hyssopsill/process/control/controlpb"
 )
 
 // largeRoutes is the number of routes of a document of half a megabyte.
@@ -140,3 +144,29 @@
 		t.Errorf("%d bytes received, want little more than the 90 KB of the compressed document", counts.Bytes)
 	}
 }
+
+// earlierHandler serves the calls of a program that sends no chunks.
+type earlierHandler struct{ documentHandler }
+
+func (earlierHandler) Document(context.Context, *controlpb.DocumentRequest, func(*controlpb.DocumentPart) error) error {
+	return errors.New(`unknown rpc: "/hyssopsill.control.Control/Document"`)
+}
+
+// Guards against a node that gets no document while its peers run an earlier program.
+func TestDocumentOfEarlierProgramIsFetchedWhole(t *testing.T) {
+	f := newDocumentFleet(2, 1)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.nodes[0].peer.Address, f.nodes[1].peer.Address = listener.Addr().String(), "127.0.0.1:1"
+	server, err := control.NewServer(control.ServerOptions{Token: "secret"}, earlierHandler{documentHandler{documents: f.nodes[0].Documents}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(t.Context(), listener) }() // ends with the test
+	f.nodes[1].tables.setSilent(true)
+	f.serve(t, func(int) bool { return true })
+	f.publishDocument(t, largeDocument(1))
+	waitFor(t, 5*time.Second, "the other node has the version", f.nodes[1].hasVersion(1))
+}
--- a/process/control/logread.go
+++ b/process/control/logread.go
@@ -22,10 +22,10 @@
 // advance moves the cursor to the position after the document in force, if that is known
 // and later.
 func (c *logCursor) advance(p eventlog.Position) {
-	if p == (eventlog.Position{}) || p == c.unusable || c.known && p.Era == c.position.Era && p.Offset <= c.position.Offset {
-		return
+	later := !c.known || p.Era > c.position.Era || p.Era == c.position.Era && p.Offset > c.position.Offset
+	if p != (eventlog.Position{}) && p != c.unusable && later {
+		c.set(p)
 	}
-	c.set(p)
 }
 
 // lose notes that the log service cannot be read from the position.
@@ -39,22 +39,9 @@
 	next    eventlog.Position // from which to read on
 }
 
-// openRead is a read in progress.
-type openRead struct {
-	end      context.CancelCauseFunc
-	long     bool          // it may wait longer than maxWatchWait
-	outdated chan struct{} // receives when a peer had a version before it
-}
-
 // errBecameWatcher ends a long read.
 var errBecameWatcher = errors.New("the node has become a watcher of the log service")
 
-// attemptResult is the outcome of one attempt of a read.
-type attemptResult struct {
-	page logPage
-	err  error
-}
-
 // readOptions configure a read.
 type readOptions struct {
 	check         bool          // do not wait for a record
@@ -62,74 +49,121 @@
 	longestWait   time.Duration // of a node that is no watcher
 }
 
+// logRead is a read in progress, made of attempts that run beside each other.
+type logRead struct {
+	documents *Documents
+	ctx       context.Context // of the attempts
+	end       context.CancelCauseFunc
+	cursor    *logCursor
+	long      bool          // it may wait longer than maxWatchWait
+	outdated  chan struct{} // receives when a peer had a version before it
+
+	first             *transfer.Transfer // of the first attempt
+	results           chan attemptResult
+	attempts, running int
+}
+
+// attemptResult is the outcome of one attempt of a read.
+type attemptResult struct {
+	page logPage
+	err  error
+}
+
 // readLog reads the records after the cursor, or the newest ones without a position. It
-// waits until there is a record, unless the options say otherwise. The connection of an attempt that
-// gets no response may have gone silent, or the log service may be slow: further attempts
-// run beside it, and the first response counts. It returns errBecameWatcher when the
-// node's role no longer allows so long a wait.
+// waits until there is a record, unless the options say otherwise. The connection of an
+// attempt that gets no response may have gone silent, or the log service may be slow:
+// further attempts run beside it, and the first response counts. It returns
+// errBecameWatcher when the node's role no longer allows so long a wait.
 func (d *Documents) readLog(ctx context.Context, cursor *logCursor, o readOptions) (logPage, error) {
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
-	read := &openRead{end: end, outdated: make(chan struct{}, 1)}
+	r := &logRead{documents: d, ctx: ctx, end: end, cursor: cursor, outdated: make(chan struct{}, 1), results: make(chan attemptResult, maxAttempts)}
 	wait := time.Duration(0)
 	d.mu.Lock()
 	cursor.advance(d.core.Position())
 	if cursor.known && !o.check {
 		watcher := d.core.Role().Watcher
-		wait, read.long = followWait(watcher, o.longestWait), !watcher
+		wait, r.long = followWait(watcher, o.longestWait), !watcher
 	}
-	d.read = read
+	d.read = r
 	grace := readGrace + 2*d.responseTime
 	d.mu.Unlock()
 	defer d.endRead()
 
-	results := make(chan attemptResult, maxAttempts)
-	running, attempts := 0, 0
-	begin := func(wait time.Duration, newConnection bool) *transfer.Transfer {
-		running++
-		attempts++
-		t, from := d.transfers.Start(sourceLogService), *cursor
-		started := d.calls.start(func(context.Context) { results <- d.attemptRead(ctx, t, from, wait, newConnection) })
-		if !started {
-			d.endTransfer(t, 0, errTooManyCalls)
-			results <- attemptResult{err: errTooManyCalls}
-		}
-		return t
-	}
-	first := begin(wait, o.newConnection)
+	r.first = r.begin(wait, o.newConnection)
 	overdue := time.NewTimer(wait + grace)
 	defer overdue.Stop()
 	for {
 		select {
-		case r := <-results:
-			if running--; r.err == nil || running == 0 || errors.Is(r.err, eventlog.ErrTrimmed) || errors.Is(r.err, eventlog.ErrRestored) {
+		case result := <-r.results:
+			r.running--
+			if result.err == nil || r.running == 0 || errors.Is(result.err, eventlog.ErrTrimmed) || errors.Is(result.err, eventlog.ErrRestored) {
 				if errors.Is(context.Cause(ctx), errBecameWatcher) {
-					r.err = errBecameWatcher
+					result.err = errBecameWatcher
 				}
-				return r.page, r.err
-			}
-		case <-read.outdated:
-			d.mu.Lock()
-			cursor.advance(d.core.Position())
-			d.mu.Unlock()
-			if attempts == 1 && (cursor.known || first.Bytes() == 0) {
-				begin(0, true)
+				return result.page, result.err
 			}
+		case <-r.outdated:
+			r.readAfterPeer()
 		case <-overdue.C:
-			if first.Bytes() > 0 && first.Idle() < readGrace {
-				overdue.Reset(readGrace)
-				continue
-			}
-			if attempts > 1 {
-				d.observeRead(time.Now(), errOverdue)
-			}
-			if attempts == 1 || attempts < maxAttempts && d.observeRole().Needed {
-				d.log.Info().Int64("version", d.version()).Int("attempts", attempts).Msg("config: a read of the log service is overdue, reading on another connection")
-				begin(0, true)
-			}
-			overdue.Reset(attemptInterval)
+			overdue.Reset(r.handleOverdue())
+		}
+	}
+}
+
+// begin starts an attempt.
+func (r *logRead) begin(wait time.Duration, newConnection bool) *transfer.Transfer {
+	d := r.documents
+	r.running++
+	r.attempts++
+	t, from := d.transfers.Start(sourceLogService), *r.cursor
+	started := d.calls.start(func(context.Context) { r.results <- d.attemptRead(r.ctx, t, from, wait, newConnection) })
+	if !started {
+		d.endTransfer(t, 0, errTooManyCalls)
+		r.results <- attemptResult{err: errTooManyCalls}
+	}
+	return t
+}
+
+// noteOutdated notes that a peer had a version before this read. The log service has it,
+// too, and should end the read within readGrace.
+func (r *logRead) noteOutdated() {
+	time.AfterFunc(readGrace, func() {
+		select {
+		case r.outdated <- struct{}{}:
+		default: // it is known already
 		}
+	})
+}
+
+// readAfterPeer reads from the position after a document that a peer sent. A first attempt
+// that transfers the document is left alone while that position is not known.
+func (r *logRead) readAfterPeer() {
+	d := r.documents
+	d.mu.Lock()
+	r.cursor.advance(d.core.Position())
+	d.mu.Unlock()
+	if r.attempts == 1 && (r.cursor.known || r.first.Bytes() == 0) {
+		r.begin(0, true)
+	}
+}
+
+// handleOverdue begins a further attempt, unless bytes of the first one arrive, and returns
+// the time until the next one. After the second attempt only nodes that are needed as
+// readers make more.
+func (r *logRead) handleOverdue() time.Duration {
+	d := r.documents
+	if r.first.Bytes() > 0 && r.first.Idle() < readGrace {
+		return readGrace
+	}
+	if r.attempts > 1 {
+		d.observeRead(time.Now(), errOverdue)
+	}
+	if r.attempts == 1 || r.attempts < maxAttempts && d.observeRole().Needed {
+		d.log.Info().Int64("version", d.version()).Int("attempts", r.attempts).Msg("config: a read of the log service is overdue, reading on another connection")
+		r.begin(0, true)
 	}
+	return attemptInterval
 }
 
 // errOverdue is observed when the log service does not respond to a read and its repetition.
--- a/process/control/meter.go
+++ b/process/control/meter.go
@@ -38,9 +38,14 @@
 	m.total.Add(in + out)
 }
 
-// peerStallTimeout bounds a write that makes no progress: a frozen peer, or one without
-// power, closes no connection.
-const peerStallTimeout = 5 * time.Second
+const (
+	// maxWriteBytes is the size of the parts in which a message is written, so that
+	// progress shows while a slow link takes a large one.
+	maxWriteBytes = 16 << 10
+	// peerStallTimeout bounds a write that makes no progress: a frozen peer, or one without
+	// power, closes no connection.
+	peerStallTimeout = 5 * time.Second
+)
 
 // countedConn counts the bytes of a connection. One call at a time runs on a
 // connection, so the bytes since the last call belong to the current one.
@@ -58,10 +63,6 @@
 	return n, err
 }
 
-// maxWriteBytes is the size of the parts in which a message is written, so that progress
-// shows while a slow link takes a large one.
-const maxWriteBytes = 16 << 10
-
 // Write fails when the peer takes no part of p for peerStallTimeout.
 func (c *countedConn) Write(p []byte) (int, error) {
 	written := 0
--- a/version/document/announce_test.go
+++ b/version/document/announce_test.go
@@ -5,9 +5,11 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/hyssopsill/hyssopsill/version/chunk"
 	"github.com/hyssopsill/hyssopsill/version/distribute"
 )
 
@@ -182,3 +184,12 @@
 		t.Error("requests version 7 again although its document was refused")
 	}
 }
+
+// Guards against a document above the limit that is passed on or decoded.
+func TestTooLargeDocumentIsRefused(t *testing.T) {
+	c := newCore(nil)
+	outcome, err := c.Offer(append([]byte("5 "), make([]byte, chunk.MaxDocumentBytes)...), FromLog)
+	if outcome != Refused || err == nil || !strings.Contains(err.Error(), "at most 2097152") || c.Version() != 0 {
+		t.Errorf("%s, %v, version %d, want a refusal that names the limit", outcome, err, c.Version())
+	}
+}
