--- a/connection/transfer/transfer.go
+++ b/connection/transfer/transfer.go
@@ -108,7 +108,7 @@
 		}
 		cancel(ErrStalled)
 	}
-	timer := time.AfterFunc(min(first, limit), check)
+	timer := time.AfterFunc(min(first, limit), check) // bytes may arrive, and stop, before first is over
 	return ctx, func() {
 		timer.Stop()
 		cancel(nil)
--- a/version/document/core.go
+++ b/version/document/core.go
@@ -51,14 +51,13 @@
 	FanOut int
 }
 
-// Outcome is what Core.Offer did with a document.
+// Outcome is what Core.Put did with a document.
 type Outcome string
 
 const (
 	InForce  Outcome = "in force" // newer than the one before, which it replaces
 	Reissued Outcome = "reissued" // another document of the version in force, which it replaces
 	Old      Outcome = "old"      // not newer than the one in force
-	Refused  Outcome = "refused"  // Options.Decode returned an error
 )
 
 // Source is where a document comes from.
@@ -159,21 +158,6 @@
 // SetAccess records whether this node can read the log service.
 func (c *Core) SetAccess(a distribute.Access) { c.access = a }
 
-// Offer puts a document in force if it is valid and newer. The error says why a
-// document was refused.
-//
-// After a restore of the log service from an older copy, an operator may publish
-// another document under a version that the service lost. The one in the log service
-// replaces the one in force. Nodes take it from the log service only, since peers
-// cannot tell which of the two is the later one.
-func (c *Core) Offer(data []byte, source Source) (Outcome, error) {
-	d, err := c.Decode(data, eventlog.Position{})
-	if err != nil {
-		return Refused, err
-	}
-	return c.Put(d, source), nil
-}
-
 // Decoded is a valid document.
 type Decoded struct {
 	config   *config.Config
@@ -201,7 +185,12 @@
 // SetPosition notes the position of the document in force, which the log service returned.
 func (c *Core) SetPosition(p eventlog.Position) { c.position = p }
 
-// Put puts a document in force if it is newer, see Offer.
+// Put puts a document in force if it is newer.
+//
+// After a restore of the log service from an older copy, an operator may publish
+// another document under a version that the service lost. The one in the log service
+// replaces the one in force. Nodes take it from the log service only, since peers
+// cannot tell which of the two is the later one.
 func (c *Core) Put(d Decoded, source Source) Outcome {
 	next, outcome := d.config, InForce
 	switch {
--- a/version/document/core_test.go
+++ b/version/document/core_test.go
@@ -11,6 +11,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/hyssopsill/hyssopsill/eventlog"
 	"github.com/hyssopsill/hyssopsill/version/config"
 	"github.com/hyssopsill/hyssopsill/version/distribute"
 )
@@ -28,6 +29,17 @@
 	return &config.Config{Version: version, CustomerHeader: strings.TrimSpace(header)}, nil
 }
 
+const Refused Outcome = "refused" // Options.Decode returned an error
+
+// Offer decodes a document and puts it in force if it is valid and newer.
+func (c *Core) Offer(data []byte, source Source) (Outcome, error) {
+	d, err := c.Decode(data, eventlog.Position{})
+	if err != nil {
+		return Refused, err
+	}
+	return c.Put(d, source), nil
+}
+
 func newCore(onConfig func(*config.Config)) *Core {
 	return New(Options{Node: "n0", Decode: decode, OnConfig: onConfig}, rand.New(rand.NewPCG(1, 2)), nil)
 }
--- a/version/document/spread.go
+++ b/version/document/spread.go
@@ -54,7 +54,7 @@
 }
 
 // NextRound returns the peers to which to announce the version now. There are none when
-// enough of the earlier ones responded, or the node has a newer version.
+// enough of the earlier ones responded, or this node has a newer version.
 func (c *Core) NextRound(s *Spread) []distribute.Peer {
 	if c.Newest() != s.version {
 		return nil
