process/roundtrip: a reset during the upload does not end a response

Linux reports a reset to one call only. When a write of the upload gets it, the next read returns what has arrived and then a plain end, which ends a response without a length.

Each write system call now runs under a lock and its first error is kept. When the end of the connection ends a response, that error decides: EPIPE means that the peer's end came before the reset, any other that the connection failed. A write that got the error before the end was read holds the lock until the error is kept, so it cannot be missed; a write that waits for room does not hold the lock, so a whole response does not wait for it. Responses with a length or chunks do not depend on the end and are as before.

--- a/process/node/node_test.go
+++ b/process/node/node_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/hyssopsill/hyssopsill/eventlog"
 	"github.com/hyssopsill/hyssopsill/process/settings"
+	"github.com/hyssopsill/hyssopsill/request/attempt"
 	"github.com/hyssopsill/hyssopsill/standin/logservice"
 	"github.com/hyssopsill/hyssopsill/standin/target"
 	"github.com/hyssopsill/hyssopsill/version/config"
@@ -55,6 +56,11 @@
 }
 
 func newTestNode(t testing.TB, name, domain string, log eventlog.Store, change ...func(*settings.Settings)) *testNode {
+	t.Helper()
+	return newProfileNode(t, attempt.DefaultHTTPProfile, name, domain, log, change...)
+}
+
+func newProfileNode(t testing.TB, profile attempt.HTTPProfile, name, domain string, log eventlog.Store, change ...func(*settings.Settings)) *testNode {
 	t.Helper()
 	any := "127.0.0.1:0"
 	s := settings.Settings{Node: name, Domain: domain, FleetToken: "token-of-the-test", LogURL: "http://127.0.0.1:1",
@@ -63,7 +69,7 @@
 	for _, f := range change {
 		f(&s)
 	}
-	n, err := New(Options{Settings: s, Log: zerolog.Nop(), LogService: log, PanicOnViolation: true})
+	n, err := New(Options{Settings: s, Log: zerolog.Nop(), LogService: log, HTTPProfile: profile, PanicOnViolation: true})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/process/node/upload_test.go
+++ b/process/node/upload_test.go
@@ -15,15 +15,21 @@
 
 	"github.com/hyssopsill/hyssopsill/process/gate"
 	"github.com/hyssopsill/hyssopsill/process/settings"
+	"github.com/hyssopsill/hyssopsill/request/attempt"
 	"github.com/hyssopsill/hyssopsill/standin/logservice"
 )
 
 // startUploadNode starts a node whose only target handles each connection with serve.
 func startUploadNode(t *testing.T, serve func(net.Conn)) *testNode {
+	t.Helper()
+	return startConnNode(t, attempt.DefaultHTTPProfile, serve)
+}
+
+func startConnNode(t *testing.T, profile attempt.HTTPProfile, serve func(net.Conn)) *testNode {
 	t.Helper()
 	log := logservice.New(logservice.Options{})
 	publishConfig(t, log, strings.Replace(testConfig, `priority = "order"`, "priority = \"order\"\nmax_body = 4194304", 1))
-	node := startTestNode(t, "n1", "d1", log, func(s *settings.Settings) { s.Limits.BodyBytes = 4 << 20 })
+	node := newProfileNode(t, profile, "n1", "d1", log, func(s *settings.Settings) { s.Limits.BodyBytes = 4 << 20 }).start(t)
 	l := listenLoopback(t)
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
--- a/process/roundtrip/conn.go
+++ b/process/roundtrip/conn.go
@@ -10,6 +10,7 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -35,6 +36,11 @@
 	connectedAt   time.Time
 	idleSince     time.Time
 
+	writeFunc  func(fd uintptr) bool // writeFD, kept so that no call allocates it
+	writeRest  []byte                // of the current Write
+	writeMu    sync.Mutex            // held during each system call that writes
+	writeError error                 // of the first one that failed
+
 	peekFunc   func(fd uintptr) bool // peekFD, kept so that no call allocates it
 	peekBuffer [1]byte
 	peeked     peekResult
@@ -54,7 +60,7 @@
 	if sc, ok := netConn.(syscall.Conn); ok {
 		cn.rawConn, _ = sc.SyscallConn() // without it isUsable checks the buffer only
 	}
-	cn.peekFunc = cn.peekFD
+	cn.peekFunc, cn.writeFunc = cn.peekFD, cn.writeFD
 	cn.limitedReader = io.LimitedReader{R: netConn, N: math.MaxInt64}
 	cn.reader = bufio.NewReaderSize(&cn.limitedReader, readBufferBytes)
 	return cn
@@ -100,11 +106,66 @@
 
 // Write writes bytes of a request to the connection and counts them.
 func (cn *conn) Write(p []byte) (int, error) {
-	n, err := cn.netConn.Write(p)
-	cn.bytesSent.Add(int64(n))
+	if cn.rawConn == nil {
+		n, err := cn.netConn.Write(p)
+		cn.bytesSent.Add(int64(n))
+		return n, err
+	}
+	cn.writeRest = p
+	err := cn.rawConn.Write(cn.writeFunc)
+	if err == nil {
+		err = cn.writeFailure()
+	}
+	n := len(p) - len(cn.writeRest)
+	cn.writeRest = nil
 	return n, err
 }
 
+// writeFD writes writeRest. It reports false when it has to wait until the connection takes
+// more.
+func (cn *conn) writeFD(fd uintptr) bool {
+	for len(cn.writeRest) > 0 {
+		cn.writeMu.Lock()
+		n, err := syscall.Write(int(fd), cn.writeRest)
+		if err != nil && err != syscall.EAGAIN && err != syscall.EINTR && cn.writeError == nil {
+			cn.writeError = os.NewSyscallError("write", err)
+		}
+		cn.writeMu.Unlock()
+		switch {
+		case n > 0:
+			cn.bytesSent.Add(int64(n))
+			cn.writeRest = cn.writeRest[n:]
+		case err == syscall.EAGAIN:
+			return false
+		case err != syscall.EINTR:
+			return true
+		}
+	}
+	return true
+}
+
+// writeFailure returns the error of the first write to the connection that failed.
+func (cn *conn) writeFailure() error {
+	cn.writeMu.Lock()
+	defer cn.writeMu.Unlock()
+	return cn.writeError
+}
+
+// readEndFailure returns nil when the end of the connection, which was just read, was sent by
+// the peer, and otherwise why the connection failed.
+//
+// Linux reports the failure of a connection, such as a reset, to one call. When that is a
+// write, the next read returns what has arrived and then io.EOF. The error of that write is
+// known once writeMu is free; a write that still waits for room has got no error. After an end
+// that the peer has sent, a write fails with EPIPE. So does a second write after a reset,
+// which is why only the first error counts.
+func (cn *conn) readEndFailure() error {
+	if err := cn.writeFailure(); err != nil && !errors.Is(err, syscall.EPIPE) {
+		return err
+	}
+	return nil
+}
+
 // exchange sends a request and reads the header of its response. A streamed body
 // is sent while the response is read.
 func (cn *conn) exchange(ctx context.Context, req *Request) (*http.Response, *Error) {
@@ -133,7 +194,8 @@
 		return nil, &Error{Stage: stage, Err: err}
 	}
 	resp.Body = &responseBody{cn: cn, original: resp.Body, stopInterrupt: stopInterrupt, ctx: ctx, sender: sender,
-		rejects: resp.StatusCode >= http.StatusMultipleChoices, reusable: !resp.Close && unrelated == 0}
+		rejects: resp.StatusCode >= http.StatusMultipleChoices, reusable: !resp.Close && unrelated == 0,
+		closeDelimited: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody}
 	return resp, nil
 }
 
@@ -234,7 +296,9 @@
 	sender        *bodySender
 	rejects       bool // the response states that the request did not succeed
 	reusable      bool
-	finished      bool
+	// closeDelimited is set when the end of the connection ends the response.
+	closeDelimited bool
+	finished       bool
 }
 
 func (b *responseBody) Read(p []byte) (int, error) {
@@ -242,6 +306,11 @@
 		return 0, io.EOF
 	}
 	n, err := b.original.Read(p)
+	if errors.Is(err, io.EOF) && b.closeDelimited {
+		if failure := b.cn.readEndFailure(); failure != nil {
+			err = fmt.Errorf("the connection failed before the end of the response: %w", failure)
+		}
+	}
 	if errors.Is(err, io.EOF) {
 		b.finish(true)
 	} else if err != nil && b.ctx.Err() != nil {
