process/roundtrip: a malformed field name fails the attempt

Targets with such a head also counted as healthy in probes.

net/http accepts names with blanks and treats "Content-Length : 4" as an unknown field. Each head of a response, interim ones and those to other requests included, is now checked with golang.org/x/net/http/httpguts (BSD licence), and the exchange fails when a name is no token. Names with control bytes, tabs, DEL, non-ASCII bytes or parentheses, and empty ones, were refused before.

--- a/process/node/broken_response_test.go
+++ b/process/node/broken_response_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/hyssopsill/hyssopsill/process/gate"
 	"github.com/hyssopsill/hyssopsill/request/attempt"
 )
 
@@ -118,3 +120,55 @@
 		}
 	}
 }
+
+// Guards against a response with a blank in a field name that the caller gets, or that is
+// taken for the health of its target.
+func TestBlankInFieldNameFailsTheAttempt(t *testing.T) {
+	for _, name := range []string{"X-Note ", "X Note", "Content-Length ", "Transfer Encoding"} {
+		for method, path := range map[string]string{http.MethodGet: "/kits", http.MethodPost: "/orders"} {
+			t.Run(method+" "+name, func(t *testing.T) {
+				t.Parallel()
+				var requests atomic.Int32
+				node := startConnNode(t, closeDelimitedProfile, func(conn net.Conn) {
+					defer func() { _ = conn.Close() }()
+					if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+						if r.URL.Path == path { // not a probe
+							requests.Add(1)
+						}
+						_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+name+": 4\r\n\r\nbody") // fails only if the gate is gone
+					}
+				})
+				r, err := http.NewRequest(method, "http://"+node.Addresses().Caller+path, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				resp, err := http.DefaultClient.Do(r)
+				if err != nil {
+					t.Fatal(err)
+				}
+				body, err := io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
+				if err != nil || resp.StatusCode != http.StatusBadGateway {
+					t.Errorf("the caller got %s with body %q, %v", resp.Status, body, err)
+				}
+				if n := requests.Load(); n == 0 || method == http.MethodPost && n != 1 {
+					t.Errorf("the target got %d requests", n)
+				}
+				probe, err := http.NewRequest(http.MethodGet, "http://"+node.Addresses().PeerData+"/v1/probe?target=t1", nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				probe.Header.Set(attempt.HeaderFleet, node.options.Settings.FleetToken)
+				if resp, err = http.DefaultClient.Do(probe); err != nil {
+					t.Fatal(err)
+				}
+				body, _ = io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
+				var result gate.ProbeResult
+				if err := json.Unmarshal(body, &result); err != nil || result.Status != 0 || result.Error == "" {
+					t.Errorf("the probe got %s, %v", body, err)
+				}
+			})
+		}
+	}
+}
--- a/process/roundtrip/conn.go
+++ b/process/roundtrip/conn.go
@@ -15,6 +15,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -262,6 +264,9 @@
 			}
 			return nil, err
 		}
+		if err := checkFieldNames(resp.Header); err != nil {
+			return nil, err
+		}
 		switch status := resp.StatusCode; {
 		case status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols: // no request asks for another protocol
 			return nil, fmt.Errorf("status %d of the response is no final answer", status)
@@ -272,6 +277,17 @@
 	}
 }
 
+// checkFieldNames returns an error for a name that is no token (RFC 9110, section 5.1).
+// net/http accepts names with blanks, and so does not see a length in "Content-Length : 4".
+func checkFieldNames(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("the response has a malformed field name %q", name)
+		}
+	}
+	return nil
+}
+
 // Status codes outside these bounds are invalid (RFC 9110, section 15).
 const (
 	minStatus = 100
