process/entry: a stream that breaks off is not complete for an HTTP/1.0 caller

Such a response has no chunks, its end is that of the connection, and net/http ends the connection of an aborted handler in order.

The connection is now set to be reset when it is closed (SO_LINGER with 0 s) before the first byte of such a response, and to end in order once the last byte is with the kernel. That holds whoever closes it: the handler, a shutdown, the budget of memory, or the kernel after the process was killed. HTTP/1.1 callers get chunks, and responses with a length show their end.

--- a/process/entry/deliver.go
+++ b/process/entry/deliver.go
@@ -67,6 +67,11 @@
 	if control.SetWriteDeadline(q.deadline) == nil {
 		defer func() { _ = control.SetWriteDeadline(time.Time{}) }() // for the next request
 	}
+	// An HTTP/1.0 caller gets no chunks. The end of the connection is that of the response then.
+	closeDelimited := length == "" && !q.callerRequest.ProtoAtLeast(1, 1)
+	if closeDelimited {
+		q.setLinger(resetOnClose)
+	}
 	q.callerResponse.WriteHeader(r.status)
 	digest := attempt.NewBodyDigest()
 	_, _ = digest.Write(r.buffered.Bytes()) // never fails
@@ -93,7 +98,10 @@
 		}
 	}
 	q.verifyStream(r, digest)
-	q.writeToCaller(buffer[:1], false)
+	q.writeToCaller(buffer[:1], closeDelimited)
+	if closeDelimited {
+		q.setLinger(orderedOnClose)
+	}
 }
 
 // writeToCaller sends a part of the response and aborts when the caller is gone.
--- a/process/node/listen.go
+++ b/process/node/listen.go
@@ -248,6 +248,14 @@
 	return nil
 }
 
+// SetLinger is that of a TCP connection.
+func (c *limitedConn) SetLinger(seconds int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return nil
+}
+
 func (c *limitedConn) Read(p []byte) (int, error) {
 	if c.listener.control {
 		return c.Conn.Read(p)
