process/gate: a response to a probe that breaks off is no health

A target whose response to a probe or read of its health endpoint broke off counted as healthy when its head said 200: the status was kept and the error of the body was not looked at. The status now counts only with a whole response; without one the probe is a time-out for entries, as a refused connection is.

--- a/process/gate/peer.go
+++ b/process/gate/peer.go
@@ -103,7 +103,7 @@
 
 // ProbeResult is the result of a probe of a target.
 type ProbeResult struct {
-	Status     int     `json:"status"` // 0 without a response
+	Status     int     `json:"status"` // 0 without a whole response
 	DurationMS float64 `json:"duration_ms"`
 	Error      string  `json:"error,omitempty"`
 }
@@ -274,12 +274,13 @@
 	resp, err := g.client.Do(ctx, address, &roundtrip.Request{Method: http.MethodGet, URI: path, Host: address})
 	result := ProbeResult{}
 	if err == nil {
-		result.Status = resp.StatusCode
 		_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxPeerBodyBytes))
 		_ = resp.Body.Close()
 	}
 	if err != nil {
 		result.Error = err.Error()
+	} else {
+		result.Status = resp.StatusCode
 	}
 	result.DurationMS = float64(g.now().Sub(started)) / float64(time.Millisecond)
 	return result
