--- a/process/node/broken_response_test.go
+++ b/process/node/broken_response_test.go
@@ -172,3 +172,36 @@
 		}
 	}
 }
+
+// Guards against a part of a response that is stored for an order key and repeated as the
+// response to the order.
+func TestBrokenResponseIsNotStoredForOrderKey(t *testing.T) {
+	const orders = 12
+	for order := range orders {
+		t.Run(strconv.Itoa(order), func(t *testing.T) {
+			t.Parallel()
+			target := &closingTarget{}
+			target.received.Store(make(chan struct{}))
+			node := startConnNode(t, closeDelimitedProfile, target.serve)
+			send := func(body int) (status int) {
+				r, err := http.NewRequest(http.MethodPost, "http://"+node.Addresses().Caller+"/orders?end=reset&status=200&size=2000&delay=3ms", &pacedBody{rest: make([]byte, body), first: body / 2})
+				if err != nil {
+					t.Fatal(err)
+				}
+				r.Header.Set(attempt.HeaderIdempotencyKey, "key")
+				resp, err := http.DefaultClient.Do(r)
+				if err != nil {
+					return 0
+				}
+				_ = resp.Body.Close()
+				return resp.StatusCode
+			}
+			if first, again := send(3<<20), send(0); first == http.StatusOK || again == http.StatusOK {
+				t.Errorf("the order got status %d, and sent again %d", first, again)
+			}
+			if n := target.orders.Load(); n != 1 {
+				t.Errorf("the order ran %d times", n)
+			}
+		})
+	}
+}
