--- a/process/roundtrip/conn.go
+++ b/process/roundtrip/conn.go
@@ -15,8 +15,6 @@
 	"sync/atomic"
 	"syscall"
 	"time"
-
-	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -264,7 +262,7 @@
 			}
 			return nil, err
 		}
-		if err := checkFieldNames(resp.Header); err != nil {
+		if err := CheckFieldNames(resp.Header); err != nil {
 			return nil, err
 		}
 		switch status := resp.StatusCode; {
@@ -277,17 +275,6 @@
 	}
 }
 
-// checkFieldNames returns an error for a name that is no token (RFC 9110, section 5.1).
-// net/http accepts names with blanks, and so does not see a length in "Content-Length : 4".
-func checkFieldNames(h http.Header) error {
-	for name := range h {
-		if !httpguts.ValidHeaderFieldName(name) {
-			return fmt.Errorf("the response has a malformed field name %q", name)
-		}
-	}
-	return nil
-}
-
 // Status codes outside these bounds are invalid (RFC 9110, section 15).
 const (
 	minStatus = 100
--- a/process/roundtrip/header.go
+++ b/process/roundtrip/header.go
@@ -1,9 +1,12 @@
 package roundtrip
 
 import (
+	"fmt"
 	"net/http"
 	"net/textproto"
 	"strings"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 const fleetHeaderPrefix = "Hyssopsill-"
@@ -61,6 +64,17 @@
 	}
 }
 
+// CheckFieldNames returns an error for a name that is no token (RFC 9110, section 5.1).
+// net/http accepts names with blanks, and so does not see a length in "Content-Length : 4".
+func CheckFieldNames(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("the response has a malformed field name %q", name)
+		}
+	}
+	return nil
+}
+
 // RequestURI returns the URI for the request line of a request that is forwarded.
 func RequestURI(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") || r.RequestURI == "*" {
