--- a/process/entry/close_delimited.go
+++ b/process/entry/close_delimited.go
@@ -19,8 +19,8 @@
 	orderedOnClose = -1 // the default
 )
 
-// setLinger says how the caller's connection ends when it is closed, by whomever: by this
-// node, or by the kernel after the process was killed.
+// setLinger sets how the kernel ends the caller's connection once it is closed. It does so,
+// too, when the process is killed.
 func (q *request) setLinger(seconds int) {
 	if conn, ok := q.callerRequest.Context().Value(callerConnKey{}).(interface{ SetLinger(seconds int) error }); ok {
 		_ = conn.SetLinger(seconds) // fails only if the connection is closed
--- a/process/roundtrip/conn.go
+++ b/process/roundtrip/conn.go
@@ -10,7 +10,6 @@
 	"math"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -39,7 +38,7 @@
 	writeFunc  func(fd uintptr) bool // writeFD, kept so that no call allocates it
 	writeRest  []byte                // of the current Write
 	writeMu    sync.Mutex            // held during each system call that writes
-	writeError error                 // of the first one that failed
+	writeError error                 // of the first such call that failed
 
 	peekFunc   func(fd uintptr) bool // peekFD, kept so that no call allocates it
 	peekBuffer [1]byte
@@ -58,7 +57,7 @@
 func newConn(c *Client, address string, netConn net.Conn) *conn {
 	cn := &conn{client: c, address: address, netConn: netConn, connectedAt: time.Now()}
 	if sc, ok := netConn.(syscall.Conn); ok {
-		cn.rawConn, _ = sc.SyscallConn() // without it isUsable checks the buffer only
+		cn.rawConn, _ = sc.SyscallConn() // without it isUsable checks the buffer only, and no reset during a write is noticed
 	}
 	cn.peekFunc, cn.writeFunc = cn.peekFD, cn.writeFD
 	cn.limitedReader = io.LimitedReader{R: netConn, N: math.MaxInt64}
@@ -104,68 +103,6 @@
 	return true
 }
 
-// Write writes bytes of a request to the connection and counts them.
-func (cn *conn) Write(p []byte) (int, error) {
-	if cn.rawConn == nil {
-		n, err := cn.netConn.Write(p)
-		cn.bytesSent.Add(int64(n))
-		return n, err
-	}
-	cn.writeRest = p
-	err := cn.rawConn.Write(cn.writeFunc)
-	if err == nil {
-		err = cn.writeFailure()
-	}
-	n := len(p) - len(cn.writeRest)
-	cn.writeRest = nil
-	return n, err
-}
-
-// writeFD writes writeRest. It reports false when it has to wait until the connection takes
-// more.
-func (cn *conn) writeFD(fd uintptr) bool {
-	for len(cn.writeRest) > 0 {
-		cn.writeMu.Lock()
-		n, err := syscall.Write(int(fd), cn.writeRest)
-		if err != nil && err != syscall.EAGAIN && err != syscall.EINTR && cn.writeError == nil {
-			cn.writeError = os.NewSyscallError("write", err)
-		}
-		cn.writeMu.Unlock()
-		switch {
-		case n > 0:
-			cn.bytesSent.Add(int64(n))
-			cn.writeRest = cn.writeRest[n:]
-		case err == syscall.EAGAIN:
-			return false
-		case err != syscall.EINTR:
-			return true
-		}
-	}
-	return true
-}
-
-// writeFailure returns the error of the first write to the connection that failed.
-func (cn *conn) writeFailure() error {
-	cn.writeMu.Lock()
-	defer cn.writeMu.Unlock()
-	return cn.writeError
-}
-
-// readEndFailure returns nil when the end of the connection, which was just read, was sent by
-// the peer, and otherwise why the connection failed.
-//
-// Linux reports the failure of a connection, such as a reset, to one call. When that is a
-// write, the next read returns what has arrived and then io.EOF. The error of that write is
-// known once writeMu is free; a write that still waits for room has got no error. After an end
-// that the peer has sent, a write fails with EPIPE. So does a second write after a reset,
-// which is why only the first error counts.
-func (cn *conn) readEndFailure() error {
-	if err := cn.writeFailure(); err != nil && !errors.Is(err, syscall.EPIPE) {
-		return err
-	}
-	return nil
-}
-
 // exchange sends a request and reads the header of its response. A streamed body
 // is sent while the response is read.
 func (cn *conn) exchange(ctx context.Context, req *Request) (*http.Response, *Error) {
--- a/process/roundtrip/field_name_test.go
+++ b/process/roundtrip/field_name_test.go
@@ -30,23 +30,11 @@
 	names := []string{"X-Note ", "X Note", "Content-Length ", "Content Length", "Transfer-Encoding ", "Transfer Encoding",
 		"X-\x00Note", "X-\x01Note", "X-\x1fNote", "X\tNote", "X-Note\t", "X-\x7fNote", "X-N\xc3\xb6te", "X-(Note)", ""}
 	responses := make(chan string, 1)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = io.WriteString(conn, <-responses) // fails only if the client is gone
-			}
-			_ = conn.Close()
+	address := serveConns(t, func(conn net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = io.WriteString(conn, <-responses) // fails only if the client is gone
 		}
-	}()
+	})
 	client := roundtrip.New(roundtrip.Options{})
 	defer client.Close()
 	send := func(response string) (*roundtrip.Response, error) {
@@ -54,7 +42,7 @@
 		request := newGet("/")
 		request.NewConnection = true
 		request.IsResponse = func(h http.Header) bool { return h.Get("X-Id") != "other" }
-		return client.Do(t.Context(), l.Addr().String(), request)
+		return client.Do(t.Context(), address, request)
 	}
 	for _, head := range heads {
 		for _, name := range names {
--- a/process/roundtrip/reset_test.go
+++ b/process/roundtrip/reset_test.go
@@ -26,37 +26,22 @@
 // response and closes the connection. It sends on the returned channel when that is done.
 func startClosingServer(t *testing.T, response string, how closing) (string, <-chan struct{}) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
 	closed := make(chan struct{}, 100)
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-					_ = conn.Close()
-					return
-				}
-				_, _ = io.WriteString(conn, response) // fails only if the client is gone
-				time.Sleep(how.delay)
-				tcp := conn.(*net.TCPConn)
-				if how.reset {
-					_ = tcp.SetLinger(0)
-				} else {
-					_ = tcp.CloseWrite()
-				}
-				_ = conn.Close()
-				closed <- struct{}{}
-			}()
+	return serveConns(t, func(conn net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, response) // fails only if the client is gone
+		time.Sleep(how.delay)
+		tcp := conn.(*net.TCPConn)
+		if how.reset {
+			_ = tcp.SetLinger(0)
+		} else {
+			_ = tcp.CloseWrite()
 		}
-	}()
-	return l.Addr().String(), closed
+		_ = conn.Close()
+		closed <- struct{}{}
+	}), closed
 }
 
 // gatedBody is a request body whose parts after the first wait until its server has closed
--- a/process/roundtrip/upload_test.go
+++ b/process/roundtrip/upload_test.go
@@ -14,9 +14,8 @@
 	"github.com/hyssopsill/hyssopsill/process/roundtrip"
 )
 
-// startEarlyServer starts a server that sends a whole response as soon as it has read the
-// head of a request, and then calls readOn for the body.
-func startEarlyServer(t *testing.T, readOn func(conn net.Conn, body io.Reader)) string {
+// serveConns starts a server that handles each connection with serve and then closes it.
+func serveConns(t *testing.T, serve func(net.Conn)) (address string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -31,16 +30,25 @@
 			}
 			go func() {
 				defer func() { _ = conn.Close() }()
-				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone") // fails only if the client is gone
-					readOn(conn, r.Body)
-				}
+				serve(conn)
 			}()
 		}
 	}()
 	return l.Addr().String()
 }
 
+// startEarlyServer starts a server that sends a whole response as soon as it has read the
+// head of a request, and then calls readOn for the body.
+func startEarlyServer(t *testing.T, readOn func(conn net.Conn, body io.Reader)) string {
+	t.Helper()
+	return serveConns(t, func(conn net.Conn) {
+		if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone") // fails only if the client is gone
+			readOn(conn, r.Body)
+		}
+	})
+}
+
 // uploadTo sends a body and reads the response to its end. It returns the time between
 // the head and the end of the response.
 func uploadTo(t *testing.T, ctx context.Context, address string, body io.Reader, interrupt func()) time.Duration {
