--- a/review/stage3/fleet.go
+++ b/review/stage3/fleet.go
@@ -451,11 +451,11 @@
 
 // answer is what a client got.
 type answer struct {
-	id, signature, body string
-	sent, ended         time.Time
-	status              int
-	header              http.Header
-	err                 error
+	id, path, signature, body string
+	sent, ended               time.Time
+	status                    int
+	header                    http.Header
+	err                       error
 }
 
 // client sends requests to one machine's outbound address over kept connections.
@@ -474,7 +474,7 @@
 
 // do sends one request. Extra header lines are given as pairs.
 func (c *client) do(method, path, body string, header ...string) answer {
-	a := answer{id: fmt.Sprintf("%s%08x", c.name, c.count.Add(1)), sent: time.Now()}
+	a := answer{path: path, id: fmt.Sprintf("%s%08x", c.name, c.count.Add(1)), sent: time.Now()}
 	req, err := http.NewRequest(method, "http://"+c.node.outbound+path, strings.NewReader(body))
 	if err != nil {
 		a.err = err
--- a/review/stage3/main.go
+++ b/review/stage3/main.go
@@ -19,7 +19,10 @@
 // cases are the scripts, by the number of their folder.
 var cases = map[string]func(*fleet) (broken []string, err error){
 	"11": restartForgetsLeaving,
-	"14": partWithoutWeight,
+	"12": crashingRequest,
+	"13": lastTenantRemoved,
+	"14": tenantOfLowRank,
+	"15": partWithoutWeight,
 }
 
 func main() {
