review: show that an answer without a request ID is given to the next request

The gate takes a signed response without a request ID for the answer to the request that waits on the connection. Additional bytes of this form after a complete response reach the client of the next request. The other cases are renumbered, the gravest first, and that of a weight of 0 is dropped.

--- a/review/stage3/main.go
+++ b/review/stage3/main.go
@@ -18,11 +18,11 @@
 
 // cases are the scripts, by the number of their folder.
 var cases = map[string]func(*fleet) (broken []string, err error){
-	"11": restartForgetsLeaving,
-	"12": crashingRequest,
-	"13": lastTenantRemoved,
-	"14": tenantOfLowRank,
-	"15": partWithoutWeight,
+	"11": additionalBytes,
+	"12": restartForgetsLeaving,
+	"13": crashingRequest,
+	"14": lastTenantRemoved,
+	"15": tenantOfLowRank,
 }
 
 func main() {
