review: show that a malformed heartbeat moves an instance to another service

A heartbeat of another writer without born, under the id of an instance, also changes the service of the instance. The case now shows this first, and changes places with that of the restarted node.

--- a/review/stage3/leaving.go
+++ b/review/stage3/leaving.go
@@ -22,7 +22,8 @@
 			orders[i] = x
 		}
 	}
-	routes := map[string]any{"r-order": route("/order/", "non_idempotent", "orders"), "r-stock": route("/stock/", "idempotent", "orders")}
+	routes := map[string]any{"r-order": route("/order/", "non_idempotent", "orders"), "r-stock": route("/stock/", "idempotent", "orders"),
+		"r-page": route("/page/", "idempotent", "shopfront")}
 	if _, err := f.put(configuration(3, routes, "orders", "shopfront")); err != nil {
 		return orders, nil, err
 	}
--- a/review/stage3/main.go
+++ b/review/stage3/main.go
@@ -19,8 +19,8 @@
 // cases are the scripts, by the number of their folder.
 var cases = map[string]func(*fleet) (broken []string, err error){
 	"11": additionalBytes,
-	"12": restartForgetsLeaving,
-	"13": malformedHeartbeat,
+	"12": malformedHeartbeat,
+	"13": restartForgetsLeaving,
 	"14": crashingRequest,
 	"15": lastTenantRemoved,
 }
