--- a/review/stage3/main.go
+++ b/review/stage3/main.go
@@ -22,7 +22,7 @@
 	"12": malformedHeartbeat,
 	"13": restartForgetsLeaving,
 	"14": crashingRequest,
-	"15": lastTenantRemoved,
+	"15": partWithoutWeight,
 }
 
 func main() {
