review: show an answer in chunks under HTTP/1.0 that is delivered with its framing

The case of additional bytes without a request ID is dropped: review/1 shows it. So is that of the restarted node: review/4 shows it. The other cases are renumbered and follow.

--- a/review/stage3/crashing.go
+++ b/review/stage3/crashing.go
@@ -30,7 +30,7 @@
 		i.sequence.Store(0)
 		i.fleet.note("instance %s starts again", i.id)
 		go func() { _ = server.Serve(l) }() // ends with the instance
-		i.send(i.heartbeat("ready"))
+		i.send(i.heartbeat())
 		i.beating.Store(true)
 	})
 }
@@ -58,7 +58,7 @@
 	}
 	time.Sleep(stabilityWindow)
 	stop, others := make(chan struct{}), make(chan map[string]answer, 1)
-	go func() { others <- traffic(clients[0], stop) }()
+	go func() { others <- traffic(clients[0], stop, "POST /order/", "GET /stock/") }()
 	var tries []answer
 	for i := range 16 {
 		tries = append(tries, clients[i%2].do("POST", fmt.Sprintf("/order/breaks?try=%d", i), "an order that crashes the instance"))
@@ -121,8 +121,7 @@
 			clients = append(clients, f.newClient(n))
 		}
 	}
-	routes := map[string]any{"r-order": route("/order/", "non_idempotent", "orders"), "r-stock": route("/stock/", "idempotent", "orders")}
-	if _, err := f.put(configuration(3, routes, "orders", "shopfront")); err != nil {
+	if _, err := f.put(configuration(3, shopRoutes(), "orders", "shopfront")); err != nil {
 		return nil, nil, err
 	}
 	if err := f.waitReady(); err != nil {
--- a/review/stage3/fleet.go
+++ b/review/stage3/fleet.go
@@ -26,7 +26,6 @@
 // Bounds of a small deployment, as the sheet of sites/sunbake-mesh states them.
 const (
 	stabilityWindow   = 3 * time.Second
-	drainTime         = 2 * time.Second
 	configApply       = 2 * time.Second
 	graceSeconds      = 6
 	heartbeatInterval = 1500 * time.Millisecond
@@ -58,9 +57,11 @@
 		return nil, err
 	}
 	f := &fleet{dir: dir, record: record, started: time.Now(), network: fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), rand.IntN(250))}
-	if f.storeAt, err = freePort(f.network + ".250"); err != nil {
+	ports, err := freePorts(f.network+".250", 1)
+	if err != nil {
 		return nil, err
 	}
+	f.storeAt = ports[0]
 	if f.store, err = startProcess(filepath.Join(dir, "store.log"), nil, "target/hyssopsill-standin", "log", "--listen", f.storeAt); err != nil {
 		return nil, err
 	}
@@ -147,15 +148,12 @@
 func (f *fleet) addNode(service string) (*node, error) {
 	i := len(f.nodes) + 1
 	n := &node{fleet: f, name: fmt.Sprintf("sidecar-%d", i), ip: fmt.Sprintf("%s.%d", f.network, i)}
-	var ports [6]string
-	for p := range ports {
-		var err error
-		if ports[p], err = freePort(n.ip); err != nil {
-			return nil, err
-		}
+	ports, err := freePorts(n.ip, 6)
+	if err != nil {
+		return nil, err
 	}
 	n.outbound, n.control, n.ready = ports[1], ports[2], ports[3]
-	internal, _ := strconv.Atoi(ports[4][strings.LastIndexByte(ports[4], ':')+1:]) // a port of freePort
+	internal, _ := strconv.Atoi(ports[4][strings.LastIndexByte(ports[4], ':')+1:]) // a port of freePorts
 	n.settings = map[string]any{
 		"node": n.name, "region": "qld", "zone": "qld-a", "service": service, "ip": n.ip, "app": ports[5],
 		"platform": map[string]any{"address": f.storeAt}, "internalPorts": []int{internal, internal + 1},
@@ -240,6 +238,8 @@
 func (f *fleet) waitReady() error {
 	for _, n := range f.nodes {
 		if err := waitFor(20*time.Second, n.name+" to be ready", n.isReady); err != nil {
+			log, _ := os.ReadFile(n.log) // may be absent
+			f.note("log of %s: %s", n.name, log)
 			return err
 		}
 	}
@@ -284,13 +284,18 @@
 	<-p.done
 }
 
-func freePort(ip string) (string, error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", err
+// freePorts returns addresses with different free ports of one IP address.
+func freePorts(ip string, n int) ([]string, error) {
+	var addresses []string
+	for range n {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close() // once all have been chosen, so that they differ
+		addresses = append(addresses, l.Addr().String())
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return addresses, nil
 }
 
 var errTimeout = errors.New("timeout")
@@ -323,8 +328,6 @@
 	server          *http.Server
 	sequence        atomic.Int64
 	beating         atomic.Bool
-	state           atomic.Value // of the heartbeats, a string
-	stop            chan struct{}
 	mu              sync.Mutex
 	runs            []run
 	address         string
@@ -334,7 +337,7 @@
 
 // addInstance starts the instance beside a node.
 func (f *fleet) addInstance(n *node, id, service string, work time.Duration) (*instance, error) {
-	i := &instance{fleet: f, node: n, id: id, service: service, slots: 5, born: time.Now().UnixMilli(), work: work, stop: make(chan struct{}),
+	i := &instance{fleet: f, node: n, id: id, service: service, slots: 5, born: time.Now().UnixMilli(), work: work,
 		address: n.settings["app"].(string), heartbeatClient: &http.Client{Timeout: time.Second}}
 	i.slotsInUse = make(chan struct{}, i.slots)
 	l, err := net.Listen("tcp", i.address)
@@ -343,7 +346,6 @@
 	}
 	i.server = &http.Server{Handler: http.HandlerFunc(i.serve), ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = i.server.Serve(l) }() // ends with the instance
-	i.state.Store("ready")
 	i.beating.Store(true)
 	go i.beat()
 	f.note("instance %s of %s starts at %s beside %s", id, service, i.address, n.name)
@@ -397,11 +399,11 @@
 }
 
 // heartbeat returns the body of the next heartbeat.
-func (i *instance) heartbeat(state string) []byte {
+func (i *instance) heartbeat() []byte {
 	body, _ := json.Marshal(map[string]any{ // always marshals
 		"address": i.address, "born": i.born,
 		"info":   map[string]any{"service": i.service, "version": "v1", "zone": i.node.settings["zone"], "slots": i.slots},
-		"status": map[string]any{"state": state, "sequence": i.sequence.Add(1), "coldRemainingMs": 0},
+		"status": map[string]any{"state": "ready", "sequence": i.sequence.Add(1), "coldRemainingMs": 0},
 	})
 	return body
 }
@@ -416,41 +418,14 @@
 	return res.StatusCode/100 == 2
 }
 
-// deregister says that the instance leaves, and returns when that was acknowledged.
-func (i *instance) deregister() (time.Time, error) {
-	body, _ := json.Marshal(map[string]any{"born": i.born}) // always marshals
-	res, err := i.heartbeatClient.Post("http://"+i.node.control+"/Instances.Deregister/"+url.PathEscape(i.id), "application/json", bytes.NewReader(body))
-	if err != nil {
-		return time.Time{}, err
-	}
-	defer res.Body.Close()
-	if res.StatusCode/100 != 2 {
-		return time.Time{}, fmt.Errorf("deregistration: %s", res.Status)
-	}
-	i.fleet.note("instance %s: its deregistration is acknowledged by %s", i.id, i.node.name)
-	return time.Now(), nil
-}
-
 func (i *instance) beat() {
-	for {
+	for ; ; time.Sleep(heartbeatInterval) {
 		if i.beating.Load() {
-			i.send(i.heartbeat(i.state.Load().(string)))
-		}
-		select {
-		case <-i.stop:
-			return
-		case <-time.After(heartbeatInterval):
+			i.send(i.heartbeat())
 		}
 	}
 }
 
-// end ends the instance.
-func (i *instance) end() {
-	close(i.stop)
-	_ = i.server.Close()
-	i.fleet.note("instance %s ends", i.id)
-}
-
 // answer is what a client got.
 type answer struct {
 	id, path, signature, body string
--- /dev/null
+++ b/review/stage3/framing.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// faultyEvery is how many answers of the faulty instance come per faulty one.
+const faultyEvery = 34
+
+// faultyFraming lets one of two instances send some of its answers in chunks under the
+// version HTTP/1.0, which has no chunks.
+func faultyFraming(f *fleet) ([]string, error) {
+	orders, c, err := threeMachines(f)
+	if err != nil {
+		return nil, err
+	}
+	var mu sync.Mutex
+	answers, faulty := 0, 0
+	for i, x := range orders {
+		x.handler = func(w http.ResponseWriter, r *http.Request) bool {
+			time.Sleep(x.work)
+			mu.Lock()
+			defer mu.Unlock()
+			if !trouble() || i > 0 {
+				return false
+			}
+			if answers++; answers%faultyEvery != 0 {
+				return false
+			}
+			conn, writer, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return false
+			}
+			defer conn.Close()
+			faulty++
+			id := r.Header.Get("X-Hyssopsill-Request-Id")
+			body := "answer of " + x.id + " to " + id
+			f.note("instance %s answers %s in chunks under HTTP/1.0", x.id, id)
+			_, _ = fmt.Fprintf(writer, "HTTP/1.0 200 OK\r\nX-Hyssopsill-Request-Id: %s\r\nX-Hyssopsill-Response-Signature: s.%s\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n%x\r\n%s\r\n0\r\n\r\n",
+				id, x.id, len(body), body) // the connection may be closed
+			_ = writer.Flush()
+			return true
+		}
+	}
+	time.Sleep(stabilityWindow)
+	stop, all := make(chan struct{}), make(chan map[string]answer, 1)
+	go func() { all <- traffic(c, stop, "POST /order/", "GET /stock/") }()
+	time.Sleep(45 * time.Second)
+	close(stop)
+	wrong, ok, other := 0, 0, 0
+	for id, a := range <-all {
+		switch {
+		case a.err != nil || a.status != http.StatusOK:
+			other++
+		case strings.HasPrefix(a.body, "answer of ") && strings.HasSuffix(a.body, " to "+id):
+			ok++
+		default:
+			wrong++
+			f.note("%s (%s) got status %d, signature %q, body %q", id, a.path, a.status, a.signature, a.body)
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	f.note("%d requests got the body of their answer, %d another one, %d no success; %d answers had faulty framing", ok, wrong, other, faulty)
+	if wrong > 0 {
+		return []string{fmt.Sprintf("MIXED: %d of %d successes have a body that is not that of the instance's answer; %d answers had faulty framing", wrong, wrong+ok, faulty)}, nil
+	}
+	return nil, nil
+}
--- a/review/stage3/main.go
+++ b/review/stage3/main.go
@@ -18,11 +18,11 @@
 
 // cases are the scripts, by the number of their folder.
 var cases = map[string]func(*fleet) (broken []string, err error){
-	"11": additionalBytes,
+	"11": faultyFraming,
 	"12": malformedHeartbeat,
-	"13": restartForgetsLeaving,
-	"14": crashingRequest,
-	"15": partWithoutWeight,
+	"13": crashingRequest,
+	"14": lastTenantRemoved,
+	"15": tenantOfLowRank,
 }
 
 func main() {
