--- a/review/stage3/main.go
+++ b/review/stage3/main.go
@@ -19,10 +19,10 @@
 // cases are the scripts, by the number of their folder.
 var cases = map[string]func(*fleet) (broken []string, err error){
 	"11": faultyFraming,
-	"12": malformedHeartbeat,
-	"13": crashingRequest,
-	"14": lastTenantRemoved,
-	"15": tenantOfLowRank,
+	"12": crashingRequest,
+	"13": lastTenantRemoved,
+	"14": tenantOfLowRank,
+	"15": partWithoutWeight,
 }
 
 func main() {
