review: show that pipelining clients leave unnoticed

A client that sends a further request before the first is answered, and then closes its connection, is taken for present until the response is written: net/http's read that would notice the close ends with the first byte of the further request. The case of a weight of 0 gives way to it.

--- a/review/stage3/fleet.go
+++ b/review/stage3/fleet.go
@@ -337,7 +337,7 @@
 
 // addInstance starts the instance beside a node.
 func (f *fleet) addInstance(n *node, id, service string, work time.Duration) (*instance, error) {
-	i := &instance{fleet: f, node: n, id: id, service: service, slots: 5, born: time.Now().UnixMilli(), work: work,
+	i := &instance{fleet: f, node: n, id: id, service: service, slots: 11, born: time.Now().UnixMilli(), work: work,
 		address: n.settings["app"].(string), heartbeatClient: &http.Client{Timeout: time.Second}}
 	i.slotsInUse = make(chan struct{}, i.slots)
 	l, err := net.Listen("tcp", i.address)
--- /dev/null
+++ b/review/stage3/gone.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Clients of the case on clients that leave.
+const (
+	pipeliningClients = 20
+	leavingClients    = 6 // of these
+	pipelineDelay     = 200 * time.Millisecond
+	leaveAfter        = 600 * time.Millisecond
+	longRead          = 4 * time.Second // work of each of their requests
+	goneTolerance     = 500 * time.Millisecond
+	aFewRequests      = 3
+)
+
+// clientsLeave lets clients send a second read before the first is answered. Some of them
+// then close their connection.
+func clientsLeave(f *fleet) ([]string, error) {
+	orders, clients, err := sixMachines(f)
+	if err != nil {
+		return nil, err
+	}
+	var mu sync.Mutex
+	ended := map[string]time.Time{}  // when an instance last stopped work on a request
+	closed := map[string]time.Time{} // when the client of a request closed its connection
+	for _, x := range orders {
+		x.handler = func(_ http.ResponseWriter, r *http.Request) bool {
+			if !strings.HasPrefix(r.URL.Path, "/stock/long/") {
+				return false
+			}
+			select {
+			case <-time.After(longRead):
+			case <-r.Context().Done():
+			}
+			id := r.Header.Get("X-Hyssopsill-Request-Id")
+			f.note("instance %s ends its work on %s, broken off: %v", x.id, id, r.Context().Err() != nil)
+			mu.Lock()
+			defer mu.Unlock()
+			ended[id] = time.Now()
+			return false
+		}
+	}
+	time.Sleep(stabilityWindow)
+	var wait sync.WaitGroup
+	for i := range pipeliningClients {
+		wait.Go(func() {
+			ids := sendPipelined(f, clients[0].node, i, trouble() && i < leavingClients)
+			mu.Lock()
+			defer mu.Unlock()
+			for _, id := range ids {
+				closed[id] = time.Now()
+			}
+		})
+		time.Sleep(20 * time.Millisecond)
+	}
+	wait.Wait()
+	time.Sleep(3 * longRead)
+	mu.Lock()
+	defer mu.Unlock()
+	runs, late, working := 0, 0, map[string]bool{}
+	for _, x := range orders {
+		for _, r := range x.ranSince(f.started) {
+			left, ok := closed[r.id]
+			if !ok {
+				continue
+			}
+			runs++
+			switch limit := left.Add(goneTolerance); {
+			case r.at.After(limit):
+				late++
+			case ended[r.id].After(limit):
+				working[r.id] = true
+			}
+		}
+	}
+	f.note("of the requests of %d clients that left, %d runs: %d began later than %s after the close, and instances were then still at work on %d requests", leavingClients, runs, late, goneTolerance, len(working))
+	var broken []string
+	if late > aFewRequests {
+		broken = append(broken, fmt.Sprintf("GONE: %d requests reached an instance later than %s after their clients had closed the connection", late, goneTolerance))
+	}
+	if 4*len(working) > leavingClients {
+		broken = append(broken, fmt.Sprintf("GONE: instances were still at work %s after the close on %d of %d reads of clients that had left", goneTolerance, len(working), leavingClients))
+	}
+	return broken, nil
+}
+
+// sendPipelined sends two reads on one connection, the second before the first is answered.
+// It returns the requests of a client that leaves, after it has closed the connection, and
+// none for one that reads both answers.
+func sendPipelined(f *fleet, n *node, client int, leaves bool) []string {
+	conn, err := net.Dial("tcp", n.outbound)
+	if err != nil {
+		f.note("client %d: %v", client, err)
+		return nil
+	}
+	defer conn.Close()
+	started := time.Now()
+	var ids []string
+	for k := range 2 {
+		id := fmt.Sprintf("long-%d-%d", client, k)
+		ids = append(ids, id)
+		f.note("client %d sends %s", client, id)
+		_, err := fmt.Fprintf(conn, "GET /stock/long/%s HTTP/1.1\r\nHost: kits.example\r\nX-Hyssopsill-Request-Id: %s\r\nX-Hyssopsill-Deadline-Ms: 20000\r\n\r\n", id, id)
+		if err != nil {
+			f.note("client %d: %v", client, err)
+			return nil
+		}
+		time.Sleep(pipelineDelay)
+	}
+	if leaves {
+		time.Sleep(time.Until(started.Add(leaveAfter)))
+		f.note("client %d closes its connection", client)
+		return ids
+	}
+	buffer := make([]byte, 4<<10)
+	_ = conn.SetReadDeadline(time.Now().Add(3 * longRead)) // fails only if the connection is closed
+	text := ""
+	for strings.Count(text, " to long-") < len(ids) {
+		n, err := conn.Read(buffer)
+		if text += string(buffer[:n]); err != nil {
+			break
+		}
+	}
+	f.note("client %d got %d answers", client, strings.Count(text, " to long-"))
+	return nil
+}
--- a/review/stage3/main.go
+++ b/review/stage3/main.go
@@ -20,9 +20,9 @@
 var cases = map[string]func(*fleet) (broken []string, err error){
 	"11": faultyFraming,
 	"12": crashingRequest,
-	"13": lastTenantRemoved,
-	"14": tenantOfLowRank,
-	"15": partWithoutWeight,
+	"13": clientsLeave,
+	"14": lastTenantRemoved,
+	"15": tenantOfLowRank,
 }
 
 func main() {
