--- a/review/stage3/fleet.go
+++ b/review/stage3/fleet.go
@@ -66,7 +66,7 @@
 		return nil, err
 	}
 	return f, waitFor(10*time.Second, "the store", func() bool {
-		res, err := http.Get("http://" + f.storeAt + "/log-newest?topic=keyed.op&part=0")
+		res, err := http.Get("http://" + f.storeAt + wire.Newest)
 		if err != nil {
 			return false
 		}
@@ -104,7 +104,7 @@
 	}
 	record := append([]byte{byte(len("config"))}, append([]byte("config"), value...)...)
 	body := append(binary.BigEndian.AppendUint32(nil, uint32(len(record))), record...)
-	res, err := http.Post("http://"+f.storeAt+"/log-append?topic=keyed.op&part=0", "application/octet-stream", bytes.NewReader(body))
+	res, err := http.Post("http://"+f.storeAt+wire.Append, "application/octet-stream", bytes.NewReader(body))
 	if err != nil {
 		return time.Time{}, err
 	}
@@ -313,7 +313,7 @@
 type run struct {
 	at                    time.Time
 	id, method, uri, body string
-	caller, tenant        string
+	caller                string
 }
 
 // instance is an application instance with its heartbeats.
@@ -355,15 +355,15 @@
 func (i *instance) serve(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
 	if r.URL.Path == "/health" {
-		h.Set("X-Hyssopsill-Instance-Id", i.id)
+		h.Set(wire.Instance, i.id)
 		return
 	}
-	if target := r.Header.Get("X-Hyssopsill-Target-Instance"); target != "" && target != i.id {
-		h.Set("X-Hyssopsill-Instance-Id", i.id)
+	if target := r.Header.Get(wire.Target); target != "" && target != i.id {
+		h.Set(wire.Instance, i.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	id := r.Header.Get("X-Hyssopsill-Request-Id")
+	id := r.Header.Get(wire.RequestID)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // not begun
@@ -371,17 +371,17 @@
 	i.slotsInUse <- struct{}{}
 	defer func() { <-i.slotsInUse }()
 	run := run{at: time.Now(), id: id, method: r.Method, uri: r.RequestURI, body: string(body),
-		caller: r.Header.Get("X-Hyssopsill-Caller-Service"), tenant: r.Header.Get("X-Hyssopsill-Tenant-Id")}
+		caller: r.Header.Get(wire.Caller)}
 	i.mu.Lock()
 	i.runs = append(i.runs, run)
 	i.mu.Unlock()
 	i.fleet.note("instance %s runs %s %s %s, caller service %q", i.id, id, r.Method, r.RequestURI, run.caller)
-	h.Set("X-Hyssopsill-Request-Id", id)
+	h.Set(wire.RequestID, id)
 	if i.handler != nil && i.handler(w, r) {
 		return
 	}
 	time.Sleep(i.work)
-	h.Set("X-Hyssopsill-Response-Signature", "s."+i.id)
+	h.Set(wire.Signature, "s."+i.id)
 	fmt.Fprintf(w, "answer of %s to %s", i.id, id)
 }
 
@@ -403,14 +403,14 @@
 	body, _ := json.Marshal(map[string]any{ // always marshals
 		"address": i.address, "born": i.born,
 		"info":   map[string]any{"service": i.service, "version": "v1", "zone": i.node.settings["zone"], "slots": i.slots},
-		"status": map[string]any{"state": "ready", "sequence": i.sequence.Add(1), "coldRemainingMs": 0},
+		"status": map[string]any{"state": "ready", "sequence": i.sequence.Add(1), wire.Cold: 0},
 	})
 	return body
 }
 
 // send sends a heartbeat and reports whether it was acknowledged.
 func (i *instance) send(body []byte) bool {
-	res, err := i.heartbeatClient.Post("http://"+i.node.control+"/Instances.Heartbeat/"+url.PathEscape(i.id), "application/json", bytes.NewReader(body))
+	res, err := i.heartbeatClient.Post("http://"+i.node.control+wire.Heartbeat+url.PathEscape(i.id), "application/json", bytes.NewReader(body))
 	if err != nil {
 		return false
 	}
@@ -458,19 +458,19 @@
 		return a
 	}
 	req.Host = "kits.example"
-	req.Header.Set("X-Hyssopsill-Request-Id", a.id)
-	req.Header.Set("X-Hyssopsill-Deadline-Ms", "6000")
+	req.Header.Set(wire.RequestID, a.id)
+	req.Header.Set(wire.Deadline, "6000")
 	for i := 0; i+1 < len(header); i += 2 {
 		req.Header.Set(header[i], header[i+1])
 	}
-	a.id = req.Header.Get("X-Hyssopsill-Request-Id")
+	a.id = req.Header.Get(wire.RequestID)
 	c.fleet.note("client at %s sends %s %s %s", c.node.name, a.id, method, path)
 	res, err := c.http.Do(req)
 	if err == nil {
 		var text []byte
 		text, err = io.ReadAll(res.Body)
 		_ = res.Body.Close()
-		a.status, a.header, a.body, a.signature = res.StatusCode, res.Header, string(text), res.Header.Get("X-Hyssopsill-Response-Signature")
+		a.status, a.header, a.body, a.signature = res.StatusCode, res.Header, string(text), res.Header.Get(wire.Signature)
 	}
 	a.err, a.ended = err, time.Now()
 	if err != nil {
--- a/review/stage3/framing.go
+++ b/review/stage3/framing.go
@@ -37,11 +37,11 @@
 			}
 			defer conn.Close()
 			faulty++
-			id := r.Header.Get("X-Hyssopsill-Request-Id")
+			id := r.Header.Get(wire.RequestID)
 			body := "answer of " + x.id + " to " + id
 			f.note("instance %s answers %s in chunks under HTTP/1.0", x.id, id)
-			_, _ = fmt.Fprintf(writer, "HTTP/1.0 200 OK\r\nX-Hyssopsill-Request-Id: %s\r\nX-Hyssopsill-Response-Signature: s.%s\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n%x\r\n%s\r\n0\r\n\r\n",
-				id, x.id, len(body), body) // the connection may be closed
+			_, _ = fmt.Fprintf(writer, "HTTP/1.0 200 OK\r\n%s: %s\r\n%s: s.%s\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n%x\r\n%s\r\n0\r\n\r\n",
+				wire.RequestID, id, wire.Signature, x.id, len(body), body) // the connection may be closed
 			_ = writer.Flush()
 			return true
 		}
--- a/review/stage3/gone.go
+++ b/review/stage3/gone.go
@@ -39,7 +39,7 @@
 			case <-time.After(longRead):
 			case <-r.Context().Done():
 			}
-			id := r.Header.Get("X-Hyssopsill-Request-Id")
+			id := r.Header.Get(wire.RequestID)
 			f.note("instance %s ends its work on %s, broken off: %v", x.id, id, r.Context().Err() != nil)
 			mu.Lock()
 			defer mu.Unlock()
@@ -107,7 +107,7 @@
 		id := fmt.Sprintf("long-%d-%d", client, k)
 		ids = append(ids, id)
 		f.note("client %d sends %s", client, id)
-		_, err := fmt.Fprintf(conn, "GET /stock/long/%s HTTP/1.1\r\nHost: kits.example\r\nX-Hyssopsill-Request-Id: %s\r\nX-Hyssopsill-Deadline-Ms: 20000\r\n\r\n", id, id)
+		_, err := fmt.Fprintf(conn, "GET /stock/long/%s HTTP/1.1\r\nHost: kits.example\r\n%s: %s\r\n%s: 20000\r\n\r\n", id, wire.RequestID, id, wire.Deadline)
 		if err != nil {
 			f.note("client %d: %v", client, err)
 			return nil
