--- a/review/stage3/crashing.go
+++ b/review/stage3/crashing.go
@@ -38,7 +38,7 @@
 // crashingRequest sends an order again and again that crashes each instance which begins to
 // run it. Path, caller and body stay the same, the query counts the tries.
 func crashingRequest(f *fleet) ([]string, error) {
-	orders, clients, err := sixMachines(f)
+	orders, clients, err := sixMachines(f, smallSlots)
 	if err != nil {
 		return nil, err
 	}
@@ -101,7 +101,7 @@
 
 // sixMachines starts four instances of orders and two of shopfront, with clients at the
 // machines of shopfront.
-func sixMachines(f *fleet) (orders []*instance, clients []*client, err error) {
+func sixMachines(f *fleet, slots int) (orders []*instance, clients []*client, err error) {
 	for i := range 6 {
 		service := "orders"
 		if i >= 4 {
@@ -111,7 +111,7 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		x, err := f.addInstance(n, fmt.Sprintf("i-%d", i+1), service, 300*time.Millisecond)
+		x, err := f.addInstance(n, fmt.Sprintf("i-%d", i+1), service, slots, 300*time.Millisecond)
 		if err != nil {
 			return nil, nil, err
 		}
--- a/review/stage3/fleet.go
+++ b/review/stage3/fleet.go
@@ -335,9 +335,15 @@
 	heartbeatClient *http.Client
 }
 
+// Slots of an instance, as the sheets of the deployments state them.
+const (
+	smallSlots = 5  // sites/sunbake-mesh
+	grownSlots = 11 // demands/zaemko-prod-grown and bordfailte-mesh-grown
+)
+
 // addInstance starts the instance beside a node.
-func (f *fleet) addInstance(n *node, id, service string, work time.Duration) (*instance, error) {
-	i := &instance{fleet: f, node: n, id: id, service: service, slots: 11, born: time.Now().UnixMilli(), work: work,
+func (f *fleet) addInstance(n *node, id, service string, slots int, work time.Duration) (*instance, error) {
+	i := &instance{fleet: f, node: n, id: id, service: service, slots: slots, born: time.Now().UnixMilli(), work: work,
 		address: n.settings["app"].(string), heartbeatClient: &http.Client{Timeout: time.Second}}
 	i.slotsInUse = make(chan struct{}, i.slots)
 	l, err := net.Listen("tcp", i.address)
--- a/review/stage3/framing.go
+++ b/review/stage3/framing.go
@@ -8,8 +8,13 @@
 	"time"
 )
 
-// faultyEvery is how many answers of the faulty instance come per faulty one.
-const faultyEvery = 34
+// Limits of garble in the site file: 0.03 of the answers, for 5 s at a time.
+const (
+	faultyEvery = 34 // answers of the faulty instance per faulty one
+	spell       = 5 * time.Second
+	spells      = 4
+	streams     = 3 // of ten requests a second each
+)
 
 // faultyFraming lets one of two instances send some of its answers in chunks under the
 // version HTTP/1.0, which has no chunks.
@@ -19,13 +24,13 @@
 		return nil, err
 	}
 	var mu sync.Mutex
-	answers, faulty := 0, 0
+	answers, faulty, inSpell := 0, 0, false
 	for i, x := range orders {
 		x.handler = func(w http.ResponseWriter, r *http.Request) bool {
 			time.Sleep(x.work)
 			mu.Lock()
 			defer mu.Unlock()
-			if !trouble() || i > 0 {
+			if !inSpell || i > 0 {
 				return false
 			}
 			if answers++; answers%faultyEvery != 0 {
@@ -47,27 +52,43 @@
 		}
 	}
 	time.Sleep(stabilityWindow)
-	stop, all := make(chan struct{}), make(chan map[string]answer, 1)
-	go func() { all <- traffic(c, stop, "POST /order/", "GET /stock/") }()
-	time.Sleep(45 * time.Second)
+	stop, all := make(chan struct{}), make(chan map[string]answer, streams)
+	for range streams {
+		go func() { all <- traffic(c, stop, "POST /order/", "GET /stock/") }()
+	}
+	for range spells {
+		time.Sleep(spell)
+		mu.Lock()
+		inSpell = trouble()
+		mu.Unlock()
+		time.Sleep(spell)
+		mu.Lock()
+		inSpell = false
+		mu.Unlock()
+	}
 	close(stop)
-	wrong, ok, other := 0, 0, 0
-	for id, a := range <-all {
-		switch {
-		case a.err != nil || a.status != http.StatusOK:
-			other++
-		case strings.HasPrefix(a.body, "answer of ") && strings.HasSuffix(a.body, " to "+id):
-			ok++
-		default:
-			wrong++
-			f.note("%s (%s) got status %d, signature %q, body %q", id, a.path, a.status, a.signature, a.body)
+	wrong, wrongOrders, ok, other := 0, 0, 0, 0
+	for range streams {
+		for id, a := range <-all {
+			switch {
+			case a.err != nil || a.status != http.StatusOK:
+				other++
+			case strings.HasPrefix(a.body, "answer of ") && strings.HasSuffix(a.body, " to "+id):
+				ok++
+			default:
+				wrong++
+				if strings.HasPrefix(a.path, "/order/") {
+					wrongOrders++
+				}
+				f.note("%s (%s) got status %d, signature %q, body %q", id, a.path, a.status, a.signature, a.body)
+			}
 		}
 	}
 	mu.Lock()
 	defer mu.Unlock()
 	f.note("%d requests got the body of their answer, %d another one, %d no success; %d answers had faulty framing", ok, wrong, other, faulty)
 	if wrong > 0 {
-		return []string{fmt.Sprintf("MIXED: %d of %d successes have a body that is not that of the instance's answer; %d answers had faulty framing", wrong, wrong+ok, faulty)}, nil
+		return []string{fmt.Sprintf("MIXED: %d of %d successes, %d of them for orders, have a body that is not that of the instance's answer; %d answers had faulty framing", wrong, wrong+ok, wrongOrders, faulty)}, nil
 	}
 	return nil, nil
 }
--- a/review/stage3/gone.go
+++ b/review/stage3/gone.go
@@ -23,12 +23,13 @@
 // clientsLeave lets clients send a second read before the first is answered. Some of them
 // then close their connection.
 func clientsLeave(f *fleet) ([]string, error) {
-	orders, clients, err := sixMachines(f)
+	orders, clients, err := sixMachines(f, grownSlots)
 	if err != nil {
 		return nil, err
 	}
 	var mu sync.Mutex
-	ended := map[string]time.Time{}  // when an instance last stopped work on a request
+	type work struct{ instance, request string }
+	ended := map[work]time.Time{}    // when an instance stopped work on a request
 	closed := map[string]time.Time{} // when the client of a request closed its connection
 	for _, x := range orders {
 		x.handler = func(_ http.ResponseWriter, r *http.Request) bool {
@@ -43,7 +44,7 @@
 			f.note("instance %s ends its work on %s, broken off: %v", x.id, id, r.Context().Err() != nil)
 			mu.Lock()
 			defer mu.Unlock()
-			ended[id] = time.Now()
+			ended[work{x.id, id}] = time.Now()
 			return false
 		}
 	}
@@ -75,7 +76,7 @@
 			switch limit := left.Add(goneTolerance); {
 			case r.at.After(limit):
 				late++
-			case ended[r.id].After(limit):
+			case ended[work{x.id, r.id}].After(limit):
 				working[r.id] = true
 			}
 		}
--- a/review/stage3/machines.go
+++ b/review/stage3/machines.go
@@ -15,7 +15,7 @@
 		if err != nil {
 			return orders, nil, err
 		}
-		x, err := f.addInstance(n, fmt.Sprintf("i-%d", i+1), service, 50*time.Millisecond)
+		x, err := f.addInstance(n, fmt.Sprintf("i-%d", i+1), service, smallSlots, 50*time.Millisecond)
 		if err != nil {
 			return orders, nil, err
 		}
--- a/review/stage3/tenants.go
+++ b/review/stage3/tenants.go
@@ -13,7 +13,7 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		x, err := f.addInstance(n, fmt.Sprintf("i-%d", i+1), service, 20*time.Millisecond)
+		x, err := f.addInstance(n, fmt.Sprintf("i-%d", i+1), service, grownSlots, 20*time.Millisecond)
 		if err != nil {
 			return nil, nil, err
 		}
