--- a/review/stage3/crashing.go
+++ b/review/stage3/crashing.go
@@ -38,7 +38,7 @@
 // crashingRequest sends an order again and again that crashes each instance which begins to
 // run it. Path, caller and body stay the same, the query counts the tries.
 func crashingRequest(f *fleet) ([]string, error) {
-	orders, clients, err := sixMachines(f, smallSlots)
+	orders, clients, err := sixMachines(f, smallSlots, stock)
 	if err != nil {
 		return nil, err
 	}
@@ -100,8 +100,8 @@
 }
 
 // sixMachines starts four instances of orders and two of shopfront, with clients at the
-// machines of shopfront.
-func sixMachines(f *fleet, slots int) (orders []*instance, clients []*client, err error) {
+// machines of shopfront. reads is the kind of the idempotent requests.
+func sixMachines(f *fleet, slots int, reads requestKind) (orders []*instance, clients []*client, err error) {
 	for i := range 6 {
 		service := "orders"
 		if i >= 4 {
@@ -121,7 +121,7 @@
 			clients = append(clients, f.newClient(n))
 		}
 	}
-	if _, err := f.put(configuration(3, shopRoutes(), "orders", "shopfront")); err != nil {
+	if _, err := f.put(configuration(3, shopRoutes(reads), "orders", "shopfront")); err != nil {
 		return nil, nil, err
 	}
 	if err := f.waitReady(); err != nil {
--- a/review/stage3/fleet.go
+++ b/review/stage3/fleet.go
@@ -311,7 +311,8 @@
 
 // run is one request that an instance ran.
 type run struct {
-	at                    time.Time
+	reached               time.Time // when its head had arrived
+	at                    time.Time // when the instance began to run it
 	id, method, uri, body string
 	caller                string
 }
@@ -369,14 +370,14 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	id := r.Header.Get(wire.RequestID)
+	reached, id := time.Now(), r.Header.Get(wire.RequestID)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // not begun
 	}
 	i.slotsInUse <- struct{}{}
 	defer func() { <-i.slotsInUse }()
-	run := run{at: time.Now(), id: id, method: r.Method, uri: r.RequestURI, body: string(body),
+	run := run{reached: reached, at: time.Now(), id: id, method: r.Method, uri: r.RequestURI, body: string(body),
 		caller: r.Header.Get(wire.Caller)}
 	i.mu.Lock()
 	i.runs = append(i.runs, run)
--- a/review/stage3/gone.go
+++ b/review/stage3/gone.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -15,7 +16,7 @@
 	leavingClients    = 6 // of these
 	pipelineDelay     = 200 * time.Millisecond
 	leaveAfter        = 600 * time.Millisecond
-	longRead          = 4 * time.Second // work of each of their requests
+	longRead          = 3 * time.Second // work of each of their requests
 	goneTolerance     = 500 * time.Millisecond
 	aFewRequests      = 3
 )
@@ -23,13 +24,14 @@
 // clientsLeave lets clients send a second read before the first is answered. Some of them
 // then close their connection.
 func clientsLeave(f *fleet) ([]string, error) {
-	orders, clients, err := sixMachines(f, grownSlots)
+	orders, clients, err := sixMachines(f, grownSlots, bookingLookup)
 	if err != nil {
 		return nil, err
 	}
 	var mu sync.Mutex
 	type work struct{ instance, request string }
-	ended := map[work]time.Time{}    // when an instance stopped work on a request
+	ended := map[work]time.Time{} // when an instance stopped work on a request
+	var failed error
 	closed := map[string]time.Time{} // when the client of a request closed its connection
 	for _, x := range orders {
 		x.handler = func(_ http.ResponseWriter, r *http.Request) bool {
@@ -52,9 +54,10 @@
 	var wait sync.WaitGroup
 	for i := range pipeliningClients {
 		wait.Go(func() {
-			ids := sendPipelined(f, clients[0].node, i, trouble() && i < leavingClients)
+			ids, err := sendPipelined(f, clients[0].node, i, trouble() && i < leavingClients)
 			mu.Lock()
 			defer mu.Unlock()
+			failed = errors.Join(failed, err)
 			for _, id := range ids {
 				closed[id] = time.Now()
 			}
@@ -65,6 +68,9 @@
 	time.Sleep(3 * longRead)
 	mu.Lock()
 	defer mu.Unlock()
+	if failed != nil {
+		return nil, failed
+	}
 	runs, late, working := 0, 0, map[string]bool{}
 	for _, x := range orders {
 		for _, r := range x.ranSince(f.started) {
@@ -74,14 +80,14 @@
 			}
 			runs++
 			switch limit := left.Add(goneTolerance); {
-			case r.at.After(limit):
+			case r.reached.After(limit):
 				late++
 			case ended[work{x.id, r.id}].After(limit):
 				working[r.id] = true
 			}
 		}
 	}
-	f.note("of the requests of %d clients that left, %d runs: %d began later than %s after the close, and instances were then still at work on %d requests", leavingClients, runs, late, goneTolerance, len(working))
+	f.note("of the requests of %d clients that left, %d runs: %d reached an instance later than %s after the close, and instances were then still at work on %d requests", leavingClients, runs, late, goneTolerance, len(working))
 	var broken []string
 	if late > aFewRequests {
 		broken = append(broken, fmt.Sprintf("GONE: %d requests reached an instance later than %s after their clients had closed the connection", late, goneTolerance))
@@ -94,12 +100,11 @@
 
 // sendPipelined sends two reads on one connection, the second before the first is answered.
 // It returns the requests of a client that leaves, after it has closed the connection, and
-// none for one that reads both answers.
-func sendPipelined(f *fleet, n *node, client int, leaves bool) []string {
+// none for one that reads both answers. Without trouble, fewer than both are an error.
+func sendPipelined(f *fleet, n *node, client int, leaves bool) ([]string, error) {
 	conn, err := net.Dial("tcp", n.outbound)
 	if err != nil {
-		f.note("client %d: %v", client, err)
-		return nil
+		return nil, fmt.Errorf("client %d: %w", client, err)
 	}
 	defer conn.Close()
 	started := time.Now()
@@ -108,17 +113,16 @@
 		id := fmt.Sprintf("long-%d-%d", client, k)
 		ids = append(ids, id)
 		f.note("client %d sends %s", client, id)
-		_, err := fmt.Fprintf(conn, "GET /stock/long/%s HTTP/1.1\r\nHost: kits.example\r\n%s: %s\r\n%s: 20000\r\n\r\n", id, wire.RequestID, id, wire.Deadline)
+		_, err := fmt.Fprintf(conn, "GET /stock/long/%s HTTP/1.1\r\nHost: kits.example\r\n%s: %s\r\n%s: %d\r\n\r\n", id, wire.RequestID, id, wire.Deadline, bookingLookup.deadline)
 		if err != nil {
-			f.note("client %d: %v", client, err)
-			return nil
+			return nil, fmt.Errorf("client %d: %w", client, err)
 		}
 		time.Sleep(pipelineDelay)
 	}
 	if leaves {
 		time.Sleep(time.Until(started.Add(leaveAfter)))
 		f.note("client %d closes its connection", client)
-		return ids
+		return ids, nil
 	}
 	buffer := make([]byte, 4<<10)
 	_ = conn.SetReadDeadline(time.Now().Add(3 * longRead)) // fails only if the connection is closed
@@ -129,6 +133,10 @@
 			break
 		}
 	}
-	f.note("client %d got %d answers", client, strings.Count(text, " to long-"))
-	return nil
+	got := strings.Count(text, " to long-")
+	f.note("client %d got %d answers", client, got)
+	if !trouble() && got < len(ids) {
+		return nil, fmt.Errorf("client %d got %d of %d answers", client, got, len(ids))
+	}
+	return nil, nil
 }
--- a/review/stage3/machines.go
+++ b/review/stage3/machines.go
@@ -23,7 +23,7 @@
 			orders[i] = x
 		}
 	}
-	if _, err := f.put(configuration(3, shopRoutes(), "orders", "shopfront")); err != nil {
+	if _, err := f.put(configuration(3, shopRoutes(stock), "orders", "shopfront")); err != nil {
 		return orders, nil, err
 	}
 	if err := f.waitReady(); err != nil {
@@ -36,9 +36,21 @@
 	})
 }
 
+// requestKind holds the bounds of a kind of requests in milliseconds.
+type requestKind struct{ timeout, aim, deadline int }
+
+// Kinds of idempotent requests; the last two as the sheets state them.
+var (
+	stock         = requestKind{timeout: 6000, aim: 2500, deadline: 6000}
+	offerList     = requestKind{timeout: 20000, aim: 12000, deadline: 40000}
+	bookingLookup = requestKind{timeout: 4000, aim: 1500, deadline: 6000}
+)
+
 // shopRoutes returns the routes of the cases without tenants.
-func shopRoutes() map[string]any {
-	return map[string]any{"r-order": route("/order/", "non_idempotent", "orders"), "r-stock": route("/stock/", "idempotent", "orders"),
+func shopRoutes(reads requestKind) map[string]any {
+	r := route("/stock/", "idempotent", "orders")
+	r["timeoutMs"], r["targetLatencyMs"] = reads.timeout, reads.aim
+	return map[string]any{"r-order": route("/order/", "non_idempotent", "orders"), "r-stock": r,
 		"r-page": route("/page/", "idempotent", "shopfront")}
 }
 
--- a/review/stage3/stop.go
+++ b/review/stage3/stop.go
@@ -22,7 +22,7 @@
 // plannedStop stops the machine of clients that have sent a second read before the first is
 // answered.
 func plannedStop(f *fleet) ([]string, error) {
-	orders, clients, err := sixMachines(f, grownSlots)
+	orders, clients, err := sixMachines(f, grownSlots, offerList)
 	if err != nil {
 		return nil, err
 	}
@@ -113,7 +113,7 @@
 	for k := range reads {
 		id := readID(client, k)
 		f.note("client %d sends %s", client, id)
-		if _, err := fmt.Fprintf(conn, "GET /stock/two/%s HTTP/1.1\r\nHost: kits.example\r\n%s: %s\r\n%s: 20000\r\n\r\n", id, wire.RequestID, id, wire.Deadline); err != nil {
+		if _, err := fmt.Fprintf(conn, "GET /stock/two/%s HTTP/1.1\r\nHost: kits.example\r\n%s: %s\r\n%s: %d\r\n\r\n", id, wire.RequestID, id, wire.Deadline, offerList.deadline); err != nil {
 			return connectionEnd{err: err}
 		}
 		time.Sleep(pipelineDelay)
