node: let connections linger that end after a response

Cause: net/http closes a connection right after such a response. The kernel resets a connection that is closed with unread bytes, or that gets bytes afterwards, and drops what it has not delivered yet.

Change: limitedConn.Close ends only its own direction when a response was written in the last 2 s. A goroutine then reads and drops what arrives until the client closes, its kernel has acknowledged the response (SIOCOUTQ), or 2 s have passed. Nothing that is read there is parsed, so no request behind a closing response can run. The connection keeps its slot, which it yields after 0.5 s when all are taken, and a small evictable charge; a shutdown waits for it, and a drain that is cut closes it. Responses that their handler broke off are closed at once as before, so that none looks complete. connection_memory counts lingering and linger_ended.

TestLingeringIsBounded: 20 clients that read nothing, half of them sending on, pass through 3 slots, and a shutdown ends.

--- a/process/node/drain.go
+++ b/process/node/drain.go
@@ -185,5 +185,5 @@
 	}
 	n.metrics.Add("drain_cut_"+s.name, remaining)
 	n.log.Error().Msgf("node: drain timeout, %d requests on listener %s are cut", remaining, s.name)
-	_ = s.server.Close() // closes the remaining connections
+	s.cut()
 }
--- a/process/node/listen.go
+++ b/process/node/listen.go
@@ -100,6 +100,7 @@
 	closeWaiting func() bool
 	// closeNext makes one more response close its connection.
 	closeNext atomic.Bool
+	lingering lingering
 }
 
 func (l *limitedListener) Accept() (net.Conn, error) {
@@ -141,7 +142,7 @@
 )
 
 // takeSlot waits for a slot of a connection. While all are taken, it closes waiting
-// connections and lets responses close theirs, so that neither clients which send
+// connections and those that linger, and lets responses close theirs, so that neither clients which send
 // nothing nor clients which send requests without a pause occupy the listener.
 func (l *limitedListener) takeSlot() bool {
 	select {
@@ -154,6 +155,7 @@
 		if l.closeWaiting != nil && l.closeWaiting() && l.memory != nil {
 			l.memory.replaced.Add(1)
 		}
+		l.lingering.closeOldest(time.Now())
 		if attempts%closeNextEvery == 0 {
 			l.closeNext.Store(true)
 		}
@@ -202,8 +204,8 @@
 // way or runs, so that a shutdown ends only reads that wait for a further request.
 type limitedConn struct {
 	net.Conn
-	listener    *limitedListener
-	releaseOnce sync.Once
+	listener  *limitedListener
+	closeOnce sync.Once
 
 	mu           sync.Mutex
 	phase        connPhase
@@ -217,6 +219,15 @@
 	charge        connCharge
 	writeDeadline time.Time // set by the handler
 
+	lastWrite    time.Time // when a part of a response was written; zero before
+	handling     bool      // a handler runs, or has broken off its response
+	broken       bool      // a read or a write has failed, or the client has closed the connection
+	resetOnClose bool      // SetLinger(0) is in force
+
+	// The lock of listener.lingering protects these.
+	lingers      *list.Element
+	lingersSince time.Time
+
 	// The lock of the service protects these.
 	waiting      *list.Element // in the service's list of connections without a request
 	waitingSince time.Time
@@ -231,12 +242,22 @@
 	phaseIdle                     // no byte was read since the last response
 )
 
+// Close closes the connection for its server. It may linger then.
 func (c *limitedConn) Close() error {
-	c.releaseOnce.Do(func() {
-		c.listener.memory.release(c)
-		<-c.listener.slots
+	var err error
+	c.closeOnce.Do(func() {
+		if !c.startLinger() {
+			err = c.Conn.Close()
+			c.release()
+		}
 	})
-	return c.Conn.Close()
+	return err
+}
+
+// release frees what a connection that is closed has held.
+func (c *limitedConn) release() {
+	c.listener.memory.release(c)
+	<-c.listener.slots
 }
 
 // CloseWrite tells the client that no more is sent. net/http calls it before it closes a
@@ -250,6 +271,9 @@
 
 // SetLinger is that of a TCP connection.
 func (c *limitedConn) SetLinger(seconds int) error {
+	c.mu.Lock()
+	c.resetOnClose = seconds == 0
+	c.mu.Unlock()
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		return tcp.SetLinger(seconds)
 	}
@@ -267,6 +291,9 @@
 		_ = c.Conn.SetReadDeadline(time.Now().Add(time.Millisecond)) // fails only if the connection is closed
 		n, err = c.Conn.Read(p)
 	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.setBroken()
+	}
 	if n > 0 || readsBody {
 		if inHead, ok := c.noteBytes(time.Now(), p[:n], len(p), readsBody); !ok {
 			return 0, c.refuseRead(inHead)
@@ -275,6 +302,21 @@
 	return n, err
 }
 
+// setBroken notes that nothing more reaches the client, or that it has ended the connection.
+func (c *limitedConn) setBroken() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.broken = true
+}
+
+// setHandling notes whether a handler runs. One that panics does not return, so that its
+// response stays broken off.
+func (c *limitedConn) setHandling(handling bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handling = handling
+}
+
 // beforeRead reports whether a read waits for the body of a request. Meanwhile the
 // connection may be closed to make room. Between requests, and with a buffer of one
 // byte, the server only learns whether the client has closed the connection.
@@ -395,12 +437,13 @@
 func newHTTPService(name string, l *limitedListener, h http.Handler, limits settings.Limits, logger zerolog.Logger) *httpService {
 	s := &httpService{name: name, listener: l, connections: map[*limitedConn]struct{}{}}
 	s.server = &http.Server{
-		Handler:           s.closeDuringShutdown(h),
+		Handler:           s.observeHandler(s.closeDuringShutdown(h)),
 		MaxHeaderBytes:    limits.HeaderBytes,
 		ReadHeaderTimeout: limits.ReadHeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		ErrorLog:          log.New(logWriter{logger, name}, "", 0),
 		ConnState:         s.observeState,
+		ConnContext:       connContext,
 	}
 	l.closeWaiting = s.closeWaiting
 	return s
@@ -447,6 +490,27 @@
 	})
 }
 
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
+func connContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// observeHandler notes on the connection that a handler runs.
+func (s *httpService) observeHandler(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connKey{}).(*limitedConn)
+		if !ok { // another type of listener
+			h.ServeHTTP(w, r)
+			return
+		}
+		c.setHandling(true)
+		h.ServeHTTP(w, r)
+		c.setHandling(false) // not after a panic
+	})
+}
+
 // observeState follows the states of the connections.
 func (s *httpService) observeState(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*limitedConn)
@@ -495,6 +559,12 @@
 	}
 }
 
+// cut closes all connections at once.
+func (s *httpService) cut() {
+	s.listener.lingering.end()
+	_ = s.server.Close() // the listener may be closed already
+}
+
 func (s *httpService) expireIdleReads() {
 	now := time.Now()
 	s.mu.Lock()
@@ -509,7 +579,7 @@
 // Serve runs the server until ctx ends. After a shutdown of the server it waits
 // for the end of ctx, so that the supervisor does not start the server again.
 func (s *httpService) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
+	stop := context.AfterFunc(ctx, s.cut)
 	defer stop()
 	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) && !s.closing.Load() {
 		return fmt.Errorf("node: listener %s: %w", s.name, err)
--- a/process/node/memory.go
+++ b/process/node/memory.go
@@ -67,6 +67,8 @@
 
 	slowReaders atomic.Int64 // connections ended because the client read nothing
 	replaced    atomic.Int64 // waiting connections closed in favour of new ones
+	lingering   atomic.Int64 // connections that linger now
+	lingerEnded atomic.Int64 // connections closed while their client might still send
 }
 
 func newMemory(limits settings.Limits, descriptors int, profile attempt.HTTPProfile, logger zerolog.Logger) *memory {
@@ -117,6 +119,24 @@
 	return d.Admitted
 }
 
+// noteLinger counts a connection that begins to linger.
+func (m *memory) noteLinger() {
+	if m != nil {
+		m.lingering.Add(1)
+	}
+}
+
+// noteLingerEnd counts one whose client has closed it, or has not.
+func (m *memory) noteLingerEnd(closedByClient bool) {
+	if m == nil {
+		return
+	}
+	m.lingering.Add(-1)
+	if !closedByClient {
+		m.lingerEnded.Add(1)
+	}
+}
+
 func (m *memory) release(c *limitedConn) {
 	if m == nil {
 		return
@@ -161,6 +181,8 @@
 	Closed      int64 `json:"closed"`
 	SlowReaders int64 `json:"slow_readers"`
 	Replaced    int64 `json:"replaced"`
+	Lingering   int64 `json:"lingering"`
+	LingerEnded int64 `json:"linger_ended"`
 }
 
 func (m *memory) metric() any {
@@ -168,7 +190,8 @@
 	s := m.budget.Stats()
 	m.mu.Unlock()
 	return memoryMetric{BudgetBytes: s.Bytes, UsedBytes: s.Used, Connections: s.Connections, Reached: s.Reached,
-		Refused: s.Refused, Closed: s.Evicted, SlowReaders: m.slowReaders.Load(), Replaced: m.replaced.Load()}
+		Refused: s.Refused, Closed: s.Evicted, SlowReaders: m.slowReaders.Load(), Replaced: m.replaced.Load(),
+		Lingering: m.lingering.Load(), LingerEnded: m.lingerEnded.Load()}
 }
 
 // connCharge is what one connection holds, by its estimate.
@@ -240,7 +263,9 @@
 func (c *limitedConn) refuseRead(inHead bool) error {
 	if inHead {
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(time.Millisecond)) // the write must not wait for the client
-		_, _ = c.Conn.Write(c.listener.memory.refusal)
+		if _, err := c.Conn.Write(c.listener.memory.refusal); err == nil {
+			c.noteWrite()
+		}
 		_ = c.CloseWrite()
 	}
 	// net/http closes the connection without a response after an error of this type.
@@ -250,6 +275,14 @@
 // Write sends a part of a response. It fails when the client reads nothing for the
 // write timeout of the listener.
 func (c *limitedConn) Write(p []byte) (int, error) {
+	n, err := c.writeCharged(p)
+	if err != nil {
+		c.setBroken()
+	}
+	return n, err
+}
+
+func (c *limitedConn) writeCharged(p []byte) (int, error) {
 	if len(p) > serverBufferBytes && !c.listener.control { // responses of peer_control go to nodes of the fleet
 		if !c.chargeResponse(int64(len(p))) {
 			return 0, &net.OpError{Op: "write", Net: "tcp", Err: errMemory}
@@ -261,6 +294,9 @@
 		deadline := c.armWrite()
 		n, err := c.Conn.Write(p[written:])
 		written += n
+		if n > 0 {
+			c.noteWrite()
+		}
 		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) || c.listener.writeTimeout <= 0 {
 			return written, err
 		}
@@ -273,6 +309,13 @@
 	}
 }
 
+// noteWrite notes that a part of a response was written.
+func (c *limitedConn) noteWrite() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastWrite = time.Now()
+}
+
 // chargeResponse sets the charge for a response that is being sent; 0 ends it. While
 // it is sent, the connection may be closed to make room.
 func (c *limitedConn) chargeResponse(size int64) bool {
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -217,7 +217,9 @@
 	}
 	limits := n.options.Settings.Limits
 	n.servers.caller = newHTTPService("caller", n.listeners.caller, n.entry, limits, n.log)
-	n.servers.caller.server.ConnContext = entry.ConnContext
+	n.servers.caller.server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return entry.ConnContext(connContext(ctx, conn), conn)
+	}
 	n.servers.peerData = newHTTPService("peer_data", n.listeners.peerData, n.gate.PeerHandler(), limits, n.log)
 	n.servers.announce = newHTTPService("announce", n.listeners.announce, n.options.AnnounceHandler(n.gate), limits, n.log)
 	n.servers.admin = newHTTPService("admin", n.listeners.admin, n.adminHandler(), limits, n.log)
