node: notice a client that leaves with bytes behind its request

What callers saw: a client that sent anything behind its request, be it a further read or one empty line, and then closed or reset its connection left unnoticed.

Cause: net/http notices a close by a read of one byte while the handler runs. A byte behind the request ends that read, and nothing watches the connection until the response is written. The next request then began although the end of the connection had arrived with it.

Change: that read of one byte does not return while the handler runs. A request that was read ahead is checked once more before it begins; the entry refuses it as not run, and roundtrip.Do sends nothing for a context that has ended. A gate does not take that for a fault of its target.

Clients that end one direction count as gone, as before.

--- a/process/entry/deliver.go
+++ b/process/entry/deliver.go
@@ -111,7 +111,7 @@
 		err = http.NewResponseController(q.callerResponse).Flush()
 	}
 	if err != nil {
-		q.abort(attempt.ReasonNone, "the caller closed its connection")
+		q.abort(attempt.ReasonNone, whyCallerGone)
 	}
 }
 
--- a/process/entry/request.go
+++ b/process/entry/request.go
@@ -62,6 +62,8 @@
 	exemptFromStop func() bool   // keeps EndWaitingRequests from ending this request
 }
 
+const whyCallerGone = "the caller closed its connection"
+
 // assignID gives the request the ID that its caller chose, so that gates recognize
 // a request that arrives twice, or a new one.
 func (q *request) assignID() {
@@ -109,6 +111,10 @@
 }
 
 func (q *request) serve() {
+	if q.callerRequest.Context().Err() != nil { // it was sent behind a request that has ended
+		q.refuse(attempt.NotRun, attempt.ReasonWithdrawn, whyCallerGone, 0)
+		return
+	}
 	if reason, why := q.awaitStart(); reason != attempt.ReasonNone {
 		q.refuse(attempt.NotRun, reason, why, time.Second)
 		return
--- a/process/entry/run.go
+++ b/process/entry/run.go
@@ -419,7 +419,7 @@
 	}
 	switch {
 	case q.callerRequest.Context().Err() != nil:
-		detail = "the caller closed its connection"
+		detail = whyCallerGone
 	case q.entry.stopping.Err() != nil:
 		reason, detail = attempt.ReasonNodeStopping, errStopping.Error()
 	}
--- a/process/gate/exchange.go
+++ b/process/gate/exchange.go
@@ -386,6 +386,9 @@
 // reportNoResponse reports an exchange that ended before the header of a response
 // arrived.
 func (e *exchange) reportNoResponse(ctx context.Context, address string, err error) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return // the entry is gone
+	}
 	if !e.started {
 		e.reportNotSent(err)
 		return
@@ -394,9 +397,6 @@
 		e.respondProblem(attempt.VerdictFailed, attempt.ReasonDeadline, "the target did not respond before the deadline", 0)
 		return
 	}
-	if ctx.Err() != nil {
-		return // the entry is gone
-	}
 	if e.handleBrokenConnection(address) {
 		e.respondProblem(attempt.VerdictCrashed, attempt.ReasonTargetCrashed, err.Error(), 0)
 		return
--- a/process/node/listen.go
+++ b/process/node/listen.go
@@ -223,6 +223,7 @@
 	handling     bool      // a handler runs, or has broken off its response
 	broken       bool      // a read or a write has failed, or the client has closed the connection
 	resetOnClose bool      // SetLinger(0) is in force
+	readAhead    bool      // bytes behind the request that runs have arrived
 
 	// The lock of listener.lingering protects these.
 	lingers      *list.Element
@@ -299,6 +300,11 @@
 			return 0, c.refuseRead(inHead)
 		}
 	}
+	if n > 0 && c.isWatch(len(p)) {
+		if err := c.awaitEnd(); err != nil {
+			return 0, err
+		}
+	}
 	return n, err
 }
 
@@ -497,7 +503,8 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
-// observeHandler notes on the connection that a handler runs.
+// observeHandler notes on the connection that a handler runs. The context of a request whose
+// client has closed the connection before has ended.
 func (s *httpService) observeHandler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, ok := r.Context().Value(connKey{}).(*limitedConn)
@@ -506,6 +513,11 @@
 			return
 		}
 		c.setHandling(true)
+		if c.endedBefore() {
+			ctx, cancel := context.WithCancel(r.Context())
+			cancel()
+			r = r.WithContext(ctx)
+		}
 		h.ServeHTTP(w, r)
 		c.setHandling(false) // not after a panic
 	})
--- a/process/node/memory.go
+++ b/process/node/memory.go
@@ -68,7 +68,8 @@
 	slowReaders atomic.Int64 // connections ended because the client read nothing
 	replaced    atomic.Int64 // waiting connections closed in favour of new ones
 	lingering   atomic.Int64 // connections that linger now
-	lingerEnded atomic.Int64 // connections closed while their client might still send
+	lingerEnded atomic.Int64 // connections closed before their client had all of the response
+	unreadEnds  atomic.Int64 // connections that their client closed with bytes unread
 }
 
 func newMemory(limits settings.Limits, descriptors int, profile attempt.HTTPProfile, logger zerolog.Logger) *memory {
@@ -126,17 +127,24 @@
 	}
 }
 
-// noteLingerEnd counts one whose client has closed it, or has not.
-func (m *memory) noteLingerEnd(closedByClient bool) {
+// noteLingerEnd counts the end of one, whose client has received the response or not.
+func (m *memory) noteLingerEnd(received bool) {
 	if m == nil {
 		return
 	}
 	m.lingering.Add(-1)
-	if !closedByClient {
+	if !received {
 		m.lingerEnded.Add(1)
 	}
 }
 
+// noteUnreadEnd counts a connection that its client has closed with bytes unread.
+func (m *memory) noteUnreadEnd() {
+	if m != nil {
+		m.unreadEnds.Add(1)
+	}
+}
+
 func (m *memory) release(c *limitedConn) {
 	if m == nil {
 		return
@@ -183,6 +191,7 @@
 	Replaced    int64 `json:"replaced"`
 	Lingering   int64 `json:"lingering"`
 	LingerEnded int64 `json:"linger_ended"`
+	UnreadEnds  int64 `json:"unread_ends"`
 }
 
 func (m *memory) metric() any {
@@ -191,7 +200,7 @@
 	m.mu.Unlock()
 	return memoryMetric{BudgetBytes: s.Bytes, UsedBytes: s.Used, Connections: s.Connections, Reached: s.Reached,
 		Refused: s.Refused, Closed: s.Evicted, SlowReaders: m.slowReaders.Load(), Replaced: m.replaced.Load(),
-		Lingering: m.lingering.Load(), LingerEnded: m.lingerEnded.Load()}
+		Lingering: m.lingering.Load(), LingerEnded: m.lingerEnded.Load(), UnreadEnds: m.unreadEnds.Load()}
 }
 
 // connCharge is what one connection holds, by its estimate.
--- /dev/null
+++ b/process/node/watch_test.go
@@ -0,0 +1,73 @@
+package node
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/hyssopsill/hyssopsill/process/settings"
+	"github.com/hyssopsill/hyssopsill/request/attempt"
+)
+
+// Guards against a client that leaves unnoticed, as it has sent more behind its request, and
+// against passing on the requests behind it.
+func TestClientThatSentMoreLeavesNoticed(t *testing.T) {
+	const request = "GET /first HTTP/1.1\r\nHost: h\r\n\r\n"
+	behind := map[string]string{
+		"nothing": "", "an empty line": "\r\n", "a request": request, "part of a head": "GET /fir", "many": strings.Repeat(request, 1000),
+		"an upload": "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 30000\r\n\r\n" + strings.Repeat("x", 30_000),
+	}
+	ends := map[string]func(*net.TCPConn) error{
+		"close": (*net.TCPConn).Close, "one direction": (*net.TCPConn).CloseWrite,
+		"reset": func(c *net.TCPConn) error { _ = c.SetLinger(0); return c.Close() },
+	}
+	for behindName, more := range behind {
+		for endName, end := range ends {
+			t.Run(behindName+"/"+endName, func(t *testing.T) {
+				t.Parallel()
+				begun, release, ended := make(chan bool, 2000), make(chan struct{}), make(chan struct{}, 2000)
+				handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+					begun <- r.Context().Err() == nil
+					<-release
+					<-r.Context().Done()
+					ended <- struct{}{}
+				})
+				inner := listenLoopback(t)
+				limits := settings.Limits{HeaderBytes: 32 << 10, IdleTimeout: time.Minute, Memory: 64 << 20}
+				l := limitConnections("caller", inner, 4, zerolog.Nop())
+				l.memory = newMemory(limits, 0, attempt.DefaultHTTPProfile, zerolog.Nop())
+				startService(t, l, handler, limits)
+				conn := dialService(t, inner.Addr().String()).(*net.TCPConn)
+				_, _ = io.WriteString(conn, request)
+				<-begun
+				if _, err := io.WriteString(conn, more); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(20 * time.Millisecond) // the rest arrives before the client leaves
+				if len(ended) > 0 {
+					t.Error("the client counts as gone while its connection is open")
+				}
+				if err := end(conn); err != nil {
+					t.Fatal(err)
+				}
+				close(release)
+				select {
+				case <-ended:
+				case <-time.After(3 * time.Second):
+					t.Fatal("the request still runs 3s after its client has left")
+				}
+				awaitMemory(t, l.memory, "the connection is closed", func(s memoryMetric) bool { return s.Connections == 0 })
+				for len(begun) > 0 {
+					if <-begun {
+						t.Error("a request began after its client had left")
+					}
+				}
+			})
+		}
+	}
+}
--- a/process/roundtrip/client.go
+++ b/process/roundtrip/client.go
@@ -86,6 +86,9 @@
 // one. The exchange fails when ctx ends, also while the body is read.
 func (c *Client) Do(ctx context.Context, address string, req *Request) (*Response, error) {
 	for {
+		if err := ctx.Err(); err != nil {
+			return nil, &Error{Stage: StageDial, Err: err}
+		}
 		var cn *conn
 		if !req.NewConnection {
 			cn = c.getIdle(address)
