node: notice a client that leaves during an upload that is not read

What callers saw: a client that reset its connection during an upload left unnoticed while the target read nothing of the body, and the target worked on.

Cause: net/http does not watch a connection before the body was read, and the body is not read further while the next hop takes nothing. Between entry and gate, and from there to the target, a close did not arrive either: its end is queued behind bytes for which the peer has no room.

An exchange that is given up during an upload resets its connection.

--- a/process/node/listen.go
+++ b/process/node/listen.go
@@ -518,6 +518,8 @@
 			cancel()
 			r = r.WithContext(ctx)
 		}
+		r, stop := c.watchUpload(r)
+		defer stop()
 		h.ServeHTTP(w, r)
 		c.setHandling(false) // not after a panic
 	})
--- a/process/roundtrip/conn.go
+++ b/process/roundtrip/conn.go
@@ -67,6 +67,15 @@
 
 func (cn *conn) close() { _ = cn.netConn.Close() }
 
+// abandon closes a connection whose exchange is given up. The peer may have no room for what
+// is not sent yet and would never see an orderly end behind it, so it gets a reset.
+func (cn *conn) abandon() {
+	if tcp, ok := cn.netConn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only if the connection is closed
+	}
+	cn.close()
+}
+
 // isUsable reports whether an idle connection is open and has nothing to read. A
 // byte that arrived while it was idle belongs to no exchange.
 func (cn *conn) isUsable() bool {
@@ -119,7 +128,11 @@
 	resp, unrelated, err := cn.readResponse(req)
 	if err != nil {
 		stopInterrupt()
-		cn.close()
+		if sender != nil && ctx.Err() != nil {
+			cn.abandon()
+		} else {
+			cn.close()
+		}
 		stage := StageRead
 		if sender != nil {
 			sender.stopAndWait()
@@ -282,7 +295,11 @@
 	if complete && !sent && !b.rejects {
 		b.sender.awaitEnd(b.ctx, b.cn) // the connection is not reused, as the peer may still read from it
 	}
-	b.cn.close()
+	if b.sender != nil && b.ctx.Err() != nil {
+		b.cn.abandon()
+	} else {
+		b.cn.close()
+	}
 	if b.sender != nil {
 		b.sender.stopAndWait()
 	}
