config: let a version come into force without its faulty parts

What callers saw: a version with one value that the product did not expect was refused as a whole.

Cause: the decoder of the platform's documents and config.Validate treat a document as all or nothing, and their limits are those of the product's own format, where the platform states none.

Account names may be any text for a header field, keys up to 4 KiB.

What makes no sense is left out by config.LeaveOutInvalid and named: a key, a rank or a limit by itself, a route so that its requests get 503 rather than go to a shorter prefix.

--- a/cmd/hyssopsill/publish.go
+++ b/cmd/hyssopsill/publish.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -130,6 +132,27 @@
 			strconv.FormatInt(s.ConfigVersion, 10), s.Why})
 	}
 	writeTable(w, []string{"NODE", "DOMAIN", "READY", "DRAINING", "VERSION", "WHY"}, rows)
+	writeConfigFaults(w, list)
+}
+
+// writeConfigFaults writes which documents nodes refused, and what they left out of the
+// version in force. Nodes with the same line are counted.
+func writeConfigFaults(w io.Writer, list []nodeStatus) {
+	nodes := map[string]int{}
+	for _, n := range list {
+		if n.Status == nil {
+			continue
+		}
+		if n.Status.ConfigRefused != "" {
+			nodes[n.Status.ConfigRefused]++
+		}
+		for _, finding := range n.Status.ConfigLeftOut {
+			nodes[fmt.Sprintf("version %d, left out: %s", n.Status.ConfigVersion, finding)]++
+		}
+	}
+	for _, line := range slices.Sorted(maps.Keys(nodes)) {
+		fmt.Fprintf(w, "%d nodes: %s\n", nodes[line], line)
+	}
 }
 
 func (a *app) configHistory(ctx context.Context, c *cli.Command) error {
--- a/process/control/documents.go
+++ b/process/control/documents.go
@@ -82,6 +82,7 @@
 
 	Sender              string    // who sent the document in force: the log service or a peer
 	InForceSince        time.Time // zero without a document
+	Refused             string    // why the last document was refused that arrived since then; empty without one
 	FailedAnnouncements int64     // announcements to peers that got no response, since the start
 
 	Transfers transfer.Counts // of documents, from the log service and from peers
@@ -173,13 +174,14 @@
 
 // refuse records why a document is not put in force, and withdraws it from peers.
 func (d *Documents) refuse(a arrival, why error) {
+	text := "the document from " + a.sender + " is refused: " + why.Error()
+	d.mu.Lock()
 	if a.shared > 0 {
-		d.mu.Lock()
 		d.core.RefuseChunks(a.shared)
-		d.mu.Unlock()
 	}
-	d.record(record.KindVersion, record.Change{Subject: "document", From: strconv.FormatInt(d.version(), 10), To: "unchanged",
-		Why: "the document from " + a.sender + " is refused: " + why.Error()})
+	d.status.Refused = text
+	d.mu.Unlock()
+	d.record(record.KindVersion, record.Change{Subject: "document", From: strconv.FormatInt(d.version(), 10), To: "unchanged", Why: text})
 }
 
 // put puts a valid document in force if it is newer, and shares it.
@@ -191,7 +193,7 @@
 	applied := time.Since(now)
 	version, lastRead := d.core.Version(), d.status.LastRead
 	if outcome == document.InForce {
-		d.status.Sender, d.status.InForceSince = a.sender, now
+		d.status.Sender, d.status.InForceSince, d.status.Refused = a.sender, now, ""
 		d.endFetches()
 		if d.read != nil && a.source == document.FromPeer {
 			d.read.noteOutdated()
--- a/process/entry/fleet.go
+++ b/process/entry/fleet.go
@@ -95,7 +95,7 @@
 	routes := make([]class.Route, len(c.Routes))
 	routeIDs := map[string]bool{}
 	for i, r := range c.Routes {
-		routes[i] = class.Route{ID: r.ID, Host: r.Host, PathPrefix: r.PathPrefix, Methods: r.Methods, Service: r.Service, Class: r.Class, Public: r.Public}
+		routes[i] = class.Route{ID: r.ID, Host: r.Host, PathPrefix: r.PathPrefix, Methods: r.Methods, Service: r.Service, Class: r.Class, Public: r.Public, Blocked: r.Blocked}
 		for _, s := range r.Split {
 			routes[i].Split = append(routes[i].Split, class.SplitShare{Service: s.Service, Weight: s.Weight})
 		}
--- a/process/entry/request.go
+++ b/process/entry/request.go
@@ -165,6 +165,9 @@
 	if !ok {
 		return attempt.ReasonNoRoute, fmt.Errorf("no route for %s %s", q.callerRequest.Method, path)
 	}
+	if match.Route.Blocked {
+		return attempt.ReasonRouteUnusable, fmt.Errorf("route %q of the configuration cannot be used", match.Route.ID)
+	}
 	if q.callerRequest.Header.Get("Upgrade") != "" {
 		return attempt.ReasonBadRequest, errors.New("header Upgrade is not supported")
 	}
--- a/process/node/admin.go
+++ b/process/node/admin.go
@@ -50,9 +50,13 @@
 	Why           string              `json:"why,omitempty"` // why the node is not ready
 	Draining      bool                `json:"draining"`
 	ConfigVersion int64               `json:"config_version"`
-	GateRunning   int                 `json:"gate_running"`
-	EntryActive   int64               `json:"entry_active"`
-	Members       []MemberStatus      `json:"members"`
+	// ConfigLeftOut are findings for which parts of this version were left out.
+	ConfigLeftOut []string `json:"config_left_out,omitempty"`
+	// ConfigRefused tells why a newer document was refused as a whole.
+	ConfigRefused string         `json:"config_refused,omitempty"`
+	GateRunning   int            `json:"gate_running"`
+	EntryActive   int64          `json:"entry_active"`
+	Members       []MemberStatus `json:"members"`
 }
 
 // MemberStatus is the state of one node in the membership view of this node.
@@ -69,6 +73,13 @@
 		GateRunning: n.gate.Running(), EntryActive: n.entry.Active(),
 	}
 	s.ConfigVersion, _ = n.config.Version()
+	s.ConfigRefused = n.config.LogStatus().Refused
+	for i, f := range n.leftOut() {
+		if i == maxLeftOutReported {
+			break
+		}
+		s.ConfigLeftOut = append(s.ConfigLeftOut, f.String())
+	}
 	s.Ready, s.Why = n.ready()
 	for _, m := range n.fleet.gossip.View().Members {
 		s.Members = append(s.Members, MemberStatus{Node: m.Node, State: m.State, ConfigVersion: m.ConfigVersion, Targets: len(m.Targets)})
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/hyssopsill/hyssopsill/connection/quota"
 	"github.com/hyssopsill/hyssopsill/connection/transfer"
 	"github.com/hyssopsill/hyssopsill/eventlog"
+	"github.com/hyssopsill/hyssopsill/finding"
 	"github.com/hyssopsill/hyssopsill/process/control"
 	"github.com/hyssopsill/hyssopsill/process/control/controlpb"
 	"github.com/hyssopsill/hyssopsill/process/entry"
@@ -73,7 +74,8 @@
 	fleet        *fleetView
 	config       configuration
 	control      *control.Server
-	version      atomic.Int64    // of the configuration in force
+	version      atomic.Int64 // of the configuration in force
+	inForce      atomic.Pointer[config.Config]
 	runContext   context.Context // ends with the node, after its drain
 	stop         context.CancelCauseFunc
 	serving      atomic.Bool // the roles have started, with the final incarnation
@@ -329,6 +331,8 @@
 	LastReadAgeSec float64 `json:"last_read_age_s"` // -1 without a successful read
 
 	Sender              string  `json:"sender"`     // of the document in force
+	Refused             bool    `json:"refused"`    // a document was refused since then
+	LeftOut             int     `json:"left_out"`   // findings for which parts of the configuration in force were left out
 	InForceSec          float64 `json:"in_force_s"` // -1 without a document
 	FailedAnnouncements int64   `json:"failed_announcements"`
 
@@ -338,7 +342,7 @@
 func (n *Node) logStatusMetric() any {
 	status := n.config.LogStatus()
 	metric := logStatusMetric{Reader: status.Reader, Watcher: status.Watcher, LastReadAgeSec: -1,
-		Sender: status.Sender, InForceSec: -1, FailedAnnouncements: status.FailedAnnouncements, Transfers: status.Transfers}
+		Sender: status.Sender, Refused: status.Refused != "", LeftOut: len(n.leftOut()), InForceSec: -1, FailedAnnouncements: status.FailedAnnouncements, Transfers: status.Transfers}
 	if !status.LastRead.IsZero() {
 		metric.LastReadAgeSec = n.now().Sub(status.LastRead).Seconds()
 	}
@@ -369,11 +373,35 @@
 	previous := n.version.Swap(c.Version)
 	n.entry.SetConfig(c)
 	n.gate.SetConfig(c)
+	n.inForce.Store(c)
+	n.logLeftOut(c)
 	n.record(record.Record{At: n.now(), Node: n.options.Settings.Node, Kind: record.KindVersion, Change: &record.Change{
 		Subject: "configuration", From: strconv.FormatInt(previous, 10), To: strconv.FormatInt(c.Version, 10), Why: "published by an operator",
 	}})
 }
 
+// maxLeftOutReported bounds the findings of one configuration that are logged and shown.
+const maxLeftOutReported = 20
+
+// leftOut returns the findings for which parts of the configuration in force were left out.
+func (n *Node) leftOut() finding.List {
+	c := n.inForce.Load()
+	if c == nil {
+		return nil
+	}
+	return c.LeftOut
+}
+
+func (n *Node) logLeftOut(c *config.Config) {
+	for i, f := range c.LeftOut {
+		if i == maxLeftOutReported {
+			n.log.Warn().Int64("version", c.Version).Msgf("config: %d further findings", len(c.LeftOut)-i)
+			return
+		}
+		n.log.Warn().Int64("version", c.Version).Msgf("config: left out: %s", f)
+	}
+}
+
 func (n *Node) logResult(r config.Result) {
 	switch r.Outcome {
 	case config.OutcomeApplied, config.OutcomeOld, config.OutcomeDuplicate, config.OutcomeGap:
--- a/process/telemetry/status.go
+++ b/process/telemetry/status.go
@@ -12,6 +12,10 @@
 	Why           string              `json:"why,omitempty"` // why the node is not ready
 	Draining      bool                `json:"draining"`
 	ConfigVersion int64               `json:"config_version"`
+	// ConfigLeftOut are findings for which parts of this version were left out.
+	ConfigLeftOut []string `json:"config_left_out,omitempty"`
+	// ConfigRefused tells why a newer document was refused as a whole.
+	ConfigRefused string `json:"config_refused,omitempty"`
 }
 
 // TargetStatus is one target in the view of one node. The response of /v1/targets
--- a/request/account/account.go
+++ b/request/account/account.go
@@ -7,7 +7,7 @@
 )
 
 // MaxKeyBytes bounds an API key. A longer one is refused without a lookup.
-const MaxKeyBytes = 256
+const MaxKeyBytes = 4096
 
 // Account is a client account.
 type Account struct {
--- a/request/attempt/outcome.go
+++ b/request/attempt/outcome.go
@@ -41,6 +41,7 @@
 	ReasonWithdrawn           Reason = "withdrawn"
 	ReasonNotReady            Reason = "not-ready"
 	ReasonConfigOutdated      Reason = "config-outdated" // the entry knows of a newer configuration, which may allow the request
+	ReasonRouteUnusable       Reason = "route-unusable"  // the configuration names no service or class for it that can be used
 	ReasonUnauthorized        Reason = "unauthorized"
 	ReasonUnauthenticated     Reason = "unauthenticated" // no API key of an account
 	ReasonIncarnationMismatch Reason = "incarnation-mismatch"
--- a/request/class/table.go
+++ b/request/class/table.go
@@ -15,6 +15,7 @@
 	Split      []SplitShare // divides the requests between services, in place of Service
 	Class      string
 	Public     bool // needs no API key
+	Blocked    bool // its requests are refused
 }
 
 // SplitShare is the part of the requests of a split route that one service gets.
--- a/request/record/sentence.go
+++ b/request/record/sentence.go
@@ -224,6 +224,7 @@
 	attempt.ReasonWithdrawn:           "the attempt was withdrawn",
 	attempt.ReasonNotReady:            "the node was not ready",
 	attempt.ReasonConfigOutdated:      "the node knew of a newer configuration that it did not have yet",
+	attempt.ReasonRouteUnusable:       "the configuration has a fault in its route",
 	attempt.ReasonUnauthenticated:     "the request had no API key of an account and its route is not public",
 	attempt.ReasonUnauthorized:        "the fleet token did not match",
 	attempt.ReasonNodeStopping:        "the entry's node stopped before the response arrived",
--- a/version/config/model.go
+++ b/version/config/model.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/hyssopsill/hyssopsill/finding"
 )
 
 // Duration is a time.Duration with a text form such as "250ms".
@@ -43,6 +45,8 @@
 	// Accounts are the client accounts by name. With at least one, requests need
 	// the API key of an account unless their route is public.
 	Accounts map[string]Account `toml:"accounts,omitempty"`
+	// LeftOut are the findings for which LeaveOutInvalid has left out a part.
+	LeftOut finding.List `toml:"-"`
 }
 
 // Account is a client account: a customer that is known by its API keys.
@@ -127,6 +131,8 @@
 	Class string       `toml:"class"`
 	// Public routes need no API key.
 	Public bool `toml:"public,omitempty"`
+	// Blocked refuses the requests of a route that LeaveOutInvalid has left out.
+	Blocked bool `toml:"-"`
 }
 
 // SplitShare is a part of the requests of a split route.
--- a/version/config/validate.go
+++ b/version/config/validate.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/hyssopsill/hyssopsill/finding"
 	"github.com/hyssopsill/hyssopsill/request/account"
@@ -16,18 +18,21 @@
 
 const (
 	minDuration = Duration(time.Millisecond)
-	maxDuration = Duration(24 * time.Hour)
-	maxBodySize = int64(1 << 40) // bytes
+	// MaxDuration is the longest time that a configuration may name.
+	MaxDuration = Duration(24 * time.Hour)
+	// MaxBodyBytes is the largest bound on a body that a configuration may name.
+	MaxBodyBytes = int64(1 << 40)
 	// MaxAccounts bounds the accounts of a configuration. The design size is 52,000.
 	MaxAccounts = 100_000
+	// maxAccountNameBytes bounds the name of an account, which is sent in a header field.
+	maxAccountNameBytes = 256
 )
 
 var (
 	namePattern   = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
 	headerPattern = regexp.MustCompile("^[A-Za-z0-9!#$%&'*+.^_`|~-]{1,64}$")
 	methodPattern = regexp.MustCompile(`^[A-Z]{1,16}$`)
-	// accountPattern allows names that are safe in a header field and in the path of an
-	// object. It is wider than namePattern because platforms choose the names.
+	// accountPattern allows names that are safe in the path of an object.
 	accountPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
 	hostPattern    = regexp.MustCompile(`^[A-Za-z0-9.:\[\]-]{1,255}$`)
 )
@@ -49,9 +54,7 @@
 	validateHeader(c.CustomerHeader, add)
 	for _, name := range slices.Sorted(maps.Keys(c.Services)) {
 		key := "services." + name
-		if !namePattern.MatchString(name) {
-			add(key, "name %q: want lower-case letters, digits and '-', at most 63", name)
-		}
+		validateServiceName(key, name, add)
 		s := c.Services[name]
 		s.validate(key, add)
 	}
@@ -59,7 +62,9 @@
 	for i, r := range c.Routes {
 		key := fmt.Sprintf("routes[%d]", i)
 		r.validate(key, add)
-		r.validateReference(key, c.lookupService, add)
+		if !r.Blocked {
+			r.validateReference(key, c.lookupService, add)
+		}
 		if r.ID != "" && ids[r.ID] {
 			add(key+".id", "route %q exists already", r.ID)
 		}
@@ -83,9 +88,7 @@
 	accountByKey := map[string]string{}
 	for _, name := range slices.Sorted(maps.Keys(c.Accounts)) {
 		path, a := "accounts."+name, c.Accounts[name]
-		if !accountPattern.MatchString(name) {
-			add(path, "name %q: want letters, digits, '.', '_' and '-', at most 128", name)
-		}
+		validateAccountName(path, name, add)
 		a.validate(path, add)
 		for i, key := range a.Keys {
 			if other, ok := accountByKey[key]; ok && other != name {
@@ -105,18 +108,15 @@
 
 func (a *Account) validate(path string, add addFunc) {
 	for i, key := range a.Keys {
-		switch field := fmt.Sprintf("%s[%d]", joinKey(path, "keys"), i); {
-		case key == "":
-			add(field, "the key is empty")
-		case len(key) > account.MaxKeyBytes:
-			add(field, "the key has %d bytes, at most %d", len(key), account.MaxKeyBytes)
-		case strings.ContainsFunc(key, func(r rune) bool { return r <= ' ' || r > '~' }):
-			add(field, "the key has characters other than visible ASCII")
-		}
+		validateKey(fmt.Sprintf("%s[%d]", joinKey(path, "keys"), i), key, add)
 	}
 	if a.Rank != nil {
 		checkRank(joinKey(path, "rank"), *a.Rank, add)
 	}
+	a.validateLimit(path, add)
+}
+
+func (a *Account) validateLimit(path string, add addFunc) {
 	checkNotNegative(joinKey(path, "rate"), a.Rate, add)
 	checkNotNegative(joinKey(path, "burst"), a.Burst, add)
 	if a.Burst > 0 && a.Rate == 0 {
@@ -124,6 +124,31 @@
 	}
 }
 
+func validateServiceName(key, name string, add addFunc) {
+	if !namePattern.MatchString(name) {
+		add(key, "name %q: want lower-case letters, digits and '-', at most 63", name)
+	}
+}
+
+// validateAccountName allows names that a header field can carry, because platforms choose
+// them.
+func validateAccountName(key, name string, add addFunc) {
+	if name == "" || len(name) > maxAccountNameBytes || strings.TrimSpace(name) != name || !utf8.ValidString(name) || strings.ContainsFunc(name, unicode.IsControl) {
+		add(key, "name %q: want 1 to %d bytes of text without control characters and without space at its ends", name, maxAccountNameBytes)
+	}
+}
+
+func validateKey(field, key string, add addFunc) {
+	switch {
+	case key == "":
+		add(field, "the key is empty")
+	case len(key) > account.MaxKeyBytes:
+		add(field, "the key has %d bytes, at most %d", len(key), account.MaxKeyBytes)
+	case strings.ContainsFunc(key, func(r rune) bool { return r <= ' ' || r > '~' }):
+		add(field, "the key has characters other than visible ASCII")
+	}
+}
+
 func checkRank(key string, rank int, add addFunc) {
 	if rank < 0 || rank > attempt.MaxRank {
 		add(key, "is %d, want 0 to %d", rank, attempt.MaxRank)
@@ -182,8 +207,8 @@
 	}
 	checkRank(key+".rank", c.Rank, add)
 	checkNotNegative(key+".max_attempts", float64(c.MaxAttempts), add)
-	if c.MaxBody < 0 || c.MaxBody > maxBodySize {
-		add(key+".max_body", "is %d, want 0 to %d bytes", c.MaxBody, maxBodySize)
+	if c.MaxBody < 0 || c.MaxBody > MaxBodyBytes {
+		add(key+".max_body", "is %d, want 0 to %d bytes", c.MaxBody, MaxBodyBytes)
 	}
 	if c.Hedge && !c.Idempotent {
 		add(key+".hedge", "only idempotent work may be hedged")
@@ -270,7 +295,7 @@
 // checkDuration also reports a bare number, which the decoder reads as
 // nanoseconds.
 func checkDuration(key string, d Duration, add addFunc) {
-	if d < minDuration || d > maxDuration {
+	if d < minDuration || d > MaxDuration {
 		add(key, "is %s, want 1ms to 24h with a unit, such as 250ms", time.Duration(d))
 	}
 }
