gate: read a target's health again when its kept connection has ended

What callers saw: a target that closed a kept connection when a health read arrived was held unhealthy until the next read, 2 s later.

Cause: probeTarget took any error for the target's health, also the end of a connection of the pool before a response. A peer may end such a connection at any time.

Change: a read that ends so is repeated once, on a new connection. roundtrip.KeptConnectionEnded tells such an end from other errors.

By reading, the same assumption remains in entry.pathFailure, which counts the end of a kept connection to a gate as evidence against that path.

--- a/process/gate/broken_probe_test.go
+++ b/process/gate/broken_probe_test.go
@@ -48,3 +48,28 @@
 		}
 	}
 }
+
+// Guards against a target that is held unhealthy since it ended a kept connection when the
+// next read of its health arrived.
+func TestEndOfKeptConnectionIsNoHealth(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		f := newConnFixture(t, attempt.DefaultHTTPProfile, func(conn net.Conn) {
+			reader := bufio.NewReader(conn)
+			if _, err := http.ReadRequest(reader); err == nil {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine") // fails only if the gate is gone
+			}
+			_, _ = http.ReadRequest(reader) // the next one gets no response
+			if reset {
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			}
+			_ = conn.Close()
+		})
+		target := f.gate.targets["t1"]
+		for number := range 4 {
+			f.gate.readHealthEndpoint(t.Context(), target, &url.URL{Host: target.Address, Path: "/health"})
+			if target.unhealthy {
+				t.Errorf("reset %t: read %d makes the target unhealthy", reset, number)
+			}
+		}
+	}
+}
--- a/process/gate/peer.go
+++ b/process/gate/peer.go
@@ -271,7 +271,12 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	started := g.now()
-	resp, err := g.client.Do(ctx, address, &roundtrip.Request{Method: http.MethodGet, URI: path, Host: address})
+	req := &roundtrip.Request{Method: http.MethodGet, URI: path, Host: address}
+	resp, err := g.client.Do(ctx, address, req)
+	if roundtrip.KeptConnectionEnded(err) {
+		req.NewConnection = true
+		resp, err = g.client.Do(ctx, address, req)
+	}
 	result := ProbeResult{}
 	if err == nil {
 		_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxPeerBodyBytes))
--- a/process/roundtrip/client.go
+++ b/process/roundtrip/client.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -73,6 +75,22 @@
 	return errors.As(err, &e) && e.Stage == StageDial
 }
 
+// KeptConnectionEnded reports whether the peer has ended a connection of the pool in place of
+// a response, as it may at any time. This tells nothing about the state of the peer, and not
+// whether the request has arrived: only an idempotent one may be sent again.
+func KeptConnectionEnded(err error) bool {
+	var e *Error
+	if !errors.As(err, &e) || !e.Reused {
+		return false
+	}
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(e.Err, end) {
+			return true
+		}
+	}
+	return false
+}
+
 // Response is the response to a request. Its body must be closed; the connection
 // is kept only when the body was read to its end.
 type Response struct {
