node: read what a client has sent before a lingering connection is closed

A connection whose response was acknowledged at once was closed with the bytes of the client unread, which resets it. It now lingers until the client sends nothing for a moment. A client's kernel that drops received bytes on a reset thus keeps the response, too.

TestClosingResponseReachesClientThatSentMore and the other tests of connections pass.

--- a/process/node/linger.go
+++ b/process/node/linger.go
@@ -13,8 +13,8 @@
 // The kernel resets a connection that is closed while bytes of the client are unread, or
 // that gets bytes afterwards, and drops what the client has not received of the response
 // (RFC 9112, section 9.6). A connection that ends after a response therefore lingers: it
-// sends nothing more, and reads and drops what the client still sends until the client's kernel
-// has acknowledged the response.
+// sends nothing more, and reads and drops what the client still sends until the client's
+// kernel has acknowledged the response.
 
 const (
 	// lingerTime is how long a connection lingers, and how long a client may take to receive
@@ -103,19 +103,10 @@
 	return true
 }
 
-// linger drops what the client sends until it closes the connection or its kernel has all
-// of the response.
+// linger drops what the client sends until it closes the connection, or sends nothing while
+// its kernel has all of the response.
 func (c *limitedConn) linger(deadline time.Time) {
-	var err error
-	wait := minLingerPoll
-	for buffer := make([]byte, discardBufferBytes); err == nil && !c.isAcknowledged() && time.Now().Before(deadline); {
-		if err = c.Conn.SetReadDeadline(time.Now().Add(wait)); err != nil {
-			break
-		}
-		if _, err = c.Conn.Read(buffer); errors.Is(err, os.ErrDeadlineExceeded) {
-			err, wait = nil, min(2*wait, maxLingerPoll)
-		}
-	}
+	err := c.discardUntilAcknowledged(deadline)
 	received := c.isAcknowledged() || (err != nil && !errors.Is(err, net.ErrClosed))
 	_ = c.Conn.Close() // it may be closed to make room
 	c.listener.memory.noteLingerEnd(received)
@@ -123,6 +114,25 @@
 	c.release()
 }
 
+func (c *limitedConn) discardUntilAcknowledged(deadline time.Time) error {
+	buffer := make([]byte, discardBufferBytes)
+	for wait := minLingerPoll; time.Now().Before(deadline); {
+		if err := c.Conn.SetReadDeadline(time.Now().Add(wait)); err != nil {
+			return err
+		}
+		switch _, err := c.Conn.Read(buffer); {
+		case err == nil:
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return err
+		case c.isAcknowledged():
+			return nil
+		default:
+			wait = min(2*wait, maxLingerPoll)
+		}
+	}
+	return nil
+}
+
 // isAcknowledged reports whether the client's kernel has all of the response.
 func (c *limitedConn) isAcknowledged() bool {
 	acknowledged := false
--- a/process/node/listen.go
+++ b/process/node/listen.go
@@ -141,8 +141,8 @@
 	closeNextEvery = 5
 )
 
-// takeSlot waits for a slot of a connection. While all are taken, it closes waiting
-// connections and those that linger, and lets responses close theirs, so that neither clients which send
+// takeSlot waits for a slot of a connection. While all are taken, it closes connections
+// that wait or linger and lets responses close theirs, so that neither clients which send
 // nothing nor clients which send requests without a pause occupy the listener.
 func (l *limitedListener) takeSlot() bool {
 	select {
@@ -443,7 +443,7 @@
 func newHTTPService(name string, l *limitedListener, h http.Handler, limits settings.Limits, logger zerolog.Logger) *httpService {
 	s := &httpService{name: name, listener: l, connections: map[*limitedConn]struct{}{}}
 	s.server = &http.Server{
-		Handler:           s.observeHandler(s.closeDuringShutdown(h)),
+		Handler:           observeHandler(s.closeDuringShutdown(h)),
 		MaxHeaderBytes:    limits.HeaderBytes,
 		ReadHeaderTimeout: limits.ReadHeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
@@ -505,7 +505,7 @@
 
 // observeHandler notes on the connection that a handler runs. The context of a request whose
 // client has closed the connection before has ended.
-func (s *httpService) observeHandler(h http.Handler) http.Handler {
+func observeHandler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, ok := r.Context().Value(connKey{}).(*limitedConn)
 		if !ok { // another type of listener
