config: keep the names of accounts in the product's own format

Validate allows account names that a platform may choose. In the product's own format each account is an object of the log, whose path has fewer characters; Parse reports other names at once, as before.

--- a/version/config/parse.go
+++ b/version/config/parse.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"reflect"
+	"slices"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
@@ -40,6 +42,11 @@
 	}
 	c.applyDefaults()
 	c.validate(doc.Add)
+	for _, name := range slices.Sorted(maps.Keys(c.Accounts)) { // each is an object of the log
+		if !accountPattern.MatchString(name) {
+			doc.Add("accounts."+name, "name %q: want letters, digits, '.', '_' and '-', at most 128", name)
+		}
+	}
 	if list := doc.Findings(); len(list) > 0 {
 		return nil, list.Sorted()
 	}
