--- a/process/node/linger_test.go
+++ b/process/node/linger_test.go
@@ -28,6 +28,15 @@
 	return conn
 }
 
+// startLimitedService runs a service with a number of connections, whose memory is counted.
+func startLimitedService(t *testing.T, slots int, idleTimeout time.Duration, h http.Handler) *httpService {
+	t.Helper()
+	limits := settings.Limits{HeaderBytes: 32 << 10, ReadHeaderTimeout: 300 * time.Millisecond, IdleTimeout: idleTimeout, Memory: 64 << 20}
+	l := limitConnections("caller", listenLoopback(t), slots, zerolog.Nop())
+	l.memory = newMemory(limits, 0, attempt.DefaultHTTPProfile, zerolog.Nop())
+	return startService(t, l, h, limits)
+}
+
 // Guards against a response that is cut because its connection is closed while the client
 // has sent more behind the request.
 func TestClosingResponseReachesClientThatSentMore(t *testing.T) {
@@ -61,12 +70,8 @@
 					<-sent
 					_, _ = w.Write(make([]byte, responseBytes)) // the client sees an error
 				})
-				inner := listenLoopback(t)
-				limits := settings.Limits{HeaderBytes: 32 << 10, ReadHeaderTimeout: 300 * time.Millisecond, IdleTimeout: 200 * time.Millisecond, Memory: 64 << 20}
-				l := limitConnections("caller", inner, 4, zerolog.Nop())
-				l.memory = newMemory(limits, 0, attempt.DefaultHTTPProfile, zerolog.Nop())
-				service = startService(t, l, handler, limits)
-				conn := dialSmallWindow(t, inner.Addr().String())
+				service = startLimitedService(t, 4, 200*time.Millisecond, handler)
+				conn := dialSmallWindow(t, service.listener.Addr().String())
 				if _, err := io.WriteString(conn, closes.request); err != nil {
 					t.Fatal(err)
 				}
@@ -103,18 +108,15 @@
 // or never stop sending, and thereby hold a shutdown, a slot, descriptors or memory.
 func TestLingeringIsBounded(t *testing.T) {
 	const slots, clients = 3, 20
-	inner := listenLoopback(t)
-	limits := settings.Limits{HeaderBytes: 32 << 10, IdleTimeout: time.Minute, Memory: 64 << 20}
-	l := limitConnections("caller", inner, slots, zerolog.Nop())
-	l.memory = newMemory(limits, 0, attempt.DefaultHTTPProfile, zerolog.Nop())
-	service := startService(t, l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	service := startLimitedService(t, slots, time.Minute, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Connection", "close")
 		_, _ = w.Write(make([]byte, 100_000)) // fails only if the client is gone
-	}), limits)
+	}))
+	memory := service.listener.memory
 	stop := make(chan struct{})
 	defer close(stop)
 	for i := range clients {
-		conn := dialSmallWindow(t, inner.Addr().String())
+		conn := dialSmallWindow(t, service.listener.Addr().String())
 		_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 		if _, err := conn.Read(make([]byte, 1)); err != nil {
 			t.Fatalf("client %d got no response: %v", i, err)
@@ -132,7 +134,7 @@
 			}
 		}()
 	}
-	if s := l.memory.metric().(memoryMetric); s.Lingering > slots || s.Connections > slots || s.LingerEnded < clients-slots {
+	if s := memory.metric().(memoryMetric); s.Lingering > slots || s.Connections > slots || s.LingerEnded < clients-slots {
 		t.Errorf("with %d slots: %+v", slots, s)
 	}
 	began := time.Now()
@@ -141,7 +143,7 @@
 	if err := service.shutdown(ctx); err != nil {
 		t.Errorf("the shutdown did not end within %s: %v", time.Since(began), err)
 	}
-	awaitMemory(t, l.memory, "all is released", func(s memoryMetric) bool { return s.UsedBytes == 0 && s.Lingering == 0 })
+	awaitMemory(t, memory, "all is released", func(s memoryMetric) bool { return s.UsedBytes == 0 && s.Lingering == 0 })
 }
 
 // Guards against a response that was broken off and looks complete, as the end of its
--- a/process/node/watch_test.go
+++ b/process/node/watch_test.go
@@ -7,11 +7,6 @@
 	"strings"
 	"testing"
 	"time"
-
-	"github.com/rs/zerolog"
-
-	"github.com/hyssopsill/hyssopsill/process/settings"
-	"github.com/hyssopsill/hyssopsill/request/attempt"
 )
 
 // Guards against a client that leaves unnoticed, as it has sent more behind its request, and
@@ -37,12 +32,8 @@
 					<-r.Context().Done()
 					ended <- struct{}{}
 				})
-				inner := listenLoopback(t)
-				limits := settings.Limits{HeaderBytes: 32 << 10, IdleTimeout: time.Minute, Memory: 64 << 20}
-				l := limitConnections("caller", inner, 4, zerolog.Nop())
-				l.memory = newMemory(limits, 0, attempt.DefaultHTTPProfile, zerolog.Nop())
-				startService(t, l, handler, limits)
-				conn := dialService(t, inner.Addr().String()).(*net.TCPConn)
+				service := startLimitedService(t, 4, time.Minute, handler)
+				conn := dialService(t, service.listener.Addr().String()).(*net.TCPConn)
 				_, _ = io.WriteString(conn, request)
 				<-begun
 				if _, err := io.WriteString(conn, more); err != nil {
@@ -61,7 +52,7 @@
 				case <-time.After(3 * time.Second):
 					t.Fatal("the request still runs 3s after its client has left")
 				}
-				awaitMemory(t, l.memory, "the connection is closed", func(s memoryMetric) bool { return s.Connections == 0 })
+				awaitMemory(t, service.listener.memory, "the connection is closed", func(s memoryMetric) bool { return s.Connections == 0 })
 				for len(begun) > 0 {
 					if <-begun {
 						t.Error("a request began after its client had left")
