--- a/version/config/validate.go
+++ b/version/config/validate.go
@@ -37,6 +37,9 @@
 	hostPattern    = regexp.MustCompile(`^[A-Za-z0-9.:\[\]-]{1,255}$`)
 )
 
+// IsName reports whether a service or a route may have a name.
+func IsName(name string) bool { return namePattern.MatchString(name) }
+
 // addFunc records a finding at a dotted key.
 type addFunc func(key, format string, args ...any)
 
