--- a/process/node/listen.go
+++ b/process/node/listen.go
@@ -300,7 +300,7 @@
 			return 0, c.refuseRead(inHead)
 		}
 	}
-	if n > 0 && c.isWatch(len(p)) {
+	if n > 0 && c.noteReadAhead(len(p)) {
 		if err := c.awaitEnd(); err != nil {
 			return 0, err
 		}
--- a/process/node/watch.go
+++ b/process/node/watch.go
@@ -13,9 +13,10 @@
 // with a byte before the handler ends. The kernel tells meanwhile whether the client has
 // closed the connection, however much of it is unread, so that no memory is used for it.
 
-// isWatch reports whether a read into a buffer of a size is the one that net/http does while
-// a handler runs. All other reads have larger buffers.
-func (c *limitedConn) isWatch(size int) bool {
+// noteReadAhead notes that a byte behind the request that runs has arrived. It reports false
+// if the read into a buffer of that size is not the one that net/http does while a handler
+// runs: all other reads have larger buffers.
+func (c *limitedConn) noteReadAhead(size int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if size != 1 || c.phase != phaseRequest {
