process/roundtrip: a transfer coding under HTTP/1.0 fails the exchange

net/http ignores the field under HTTP/1.0 and drops it, so that the body ends with the connection and nothing tells afterwards. RFC 9112, section 6.1, takes the framing of such a message for faulty. The parser is now shown HTTP/1.1, so that it keeps the coding in Response.TransferEncoding, and the exchange fails if there is one; version and Close are set back to what HTTP/1.0 means. Probes and calls from entry to gate use the same code.

--- a/process/roundtrip/conn.go
+++ b/process/roundtrip/conn.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -205,7 +207,7 @@
 func (cn *conn) readHeader(method string) (*http.Response, error) {
 	cn.limitedReader.N = cn.client.options.HeaderBytes
 	for {
-		resp, err := http.ReadResponse(cn.reader, &http.Request{Method: method})
+		resp, err := cn.parseHeader(method)
 		if err != nil {
 			if cn.limitedReader.N <= 0 {
 				err = errHeaderTooLarge
@@ -225,6 +227,37 @@
 	}
 }
 
+const versionHTTP10 = "HTTP/1.0"
+
+// parseHeader parses the header of a response. It fails for a transfer coding under HTTP/1.0,
+// whose framing counts as faulty (RFC 9112, section 6.1). net/http ignores the field there, so
+// that the coding would become a part of the body; so it is shown HTTP/1.1.
+func (cn *conn) parseHeader(method string) (*http.Response, error) {
+	begin, err := cn.reader.Peek(len(versionHTTP10))
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return nil, err
+	}
+	isHTTP10 := string(begin) == versionHTTP10
+	if isHTTP10 {
+		begin[len(begin)-1] = '1'
+	}
+	resp, err := http.ReadResponse(cn.reader, &http.Request{Method: method})
+	if err != nil || !isHTTP10 {
+		return resp, err
+	}
+	if len(resp.TransferEncoding) > 0 {
+		return nil, errHTTP10TransferCoding
+	}
+	resp.Proto, resp.ProtoMinor = versionHTTP10, 0
+	resp.Close = resp.Close || !httpguts.HeaderValuesContainsToken(resp.Header["Connection"], "keep-alive")
+	return resp, nil
+}
+
+var errHTTP10TransferCoding = errors.New("the response has a transfer coding under HTTP/1.0")
+
 // Status codes outside these bounds are invalid (RFC 9110, section 15).
 const (
 	minStatus = 100
