process/upload: a response that may end its connection says so

An order on a connection whose previous request was rejected before its body was read got no answer: the response did not say that the connection ends, and the node closed it then (the rest of the body would be taken for a request).

process/upload, which decides about that close, now writes the header of the response: while a part of the body is unread, it has Connection: close. A client that has sent all of a small body sees no difference, as its body has been read.

--- a/process/entry/request.go
+++ b/process/entry/request.go
@@ -326,6 +326,7 @@
 	}
 	if len(q.body) == maxReplayBytes && q.callerRequest.ContentLength != maxReplayBytes {
 		q.bodyRest = upload.New(q.callerResponse, body)
+		q.callerResponse = q.bodyRest.ResponseWriter()
 		return "", nil
 	}
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
--- a/process/gate/exchange.go
+++ b/process/gate/exchange.go
@@ -317,6 +317,7 @@
 	if e.r.ContentLength != 0 {
 		body := upload.New(e.w, e.r.Body)
 		defer body.Finish()
+		e.w = body.ResponseWriter()
 		req.Body, req.InterruptBody = body, body.Interrupt
 		req.BeforeSend = func(connectedAt time.Time) bool { return e.confirmStart(connectedAt) && body.Forward() == nil }
 	}
--- a/process/node/upload_test.go
+++ b/process/node/upload_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -238,3 +239,65 @@
 		}
 	}
 }
+
+// Guards against an order that is lost on a connection which its node closes without having
+// said so, as it has not read the body before to its end: that of the caller, or the one
+// between entry and gate.
+func TestUnreadUploadEndsItsConnections(t *testing.T) {
+	const rounds, size = 20, 4 << 20 // more than the kernel takes
+	node := startUploadNode(t, func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
+		for {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			responseFor(r).writeFirst(conn)
+			if r.ContentLength > 0 {
+				time.Sleep(100 * time.Millisecond) // until the gate has read the response
+				return
+			}
+		}
+	})
+	rejected := earlyResponse{status: http.StatusRequestEntityTooLarge, first: 20_000}.path()
+	next := func(conn net.Conn, reader *bufio.Reader) error {
+		_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\n\r\n", earlyResponse{status: http.StatusOK}.path()) // an error shows below
+		resp, err := http.ReadResponse(reader, nil)
+		if err == nil && resp.StatusCode != http.StatusOK {
+			err = errors.New(resp.Status)
+		}
+		return err
+	}
+	for range rounds {
+		conn, reader := dialNode(t, node)
+		go func() { // ends with the connection
+			_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", rejected, size)
+			_, _ = conn.Write(make([]byte, size))
+		}()
+		resp, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body) // an error shows in the next response
+		if err := next(dialNode(t, node)); err != nil {
+			t.Errorf("an order on a new connection behind a rejected upload: %v", err)
+		}
+		if resp.Close {
+			continue
+		}
+		if err := next(conn, reader); err != nil {
+			t.Errorf("an order on the connection of a rejected upload, which was not said to end: %v", err)
+		}
+	}
+}
+
+func dialNode(t *testing.T, node *testNode) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, err := net.Dial("tcp", node.Addresses().Caller)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn, bufio.NewReader(conn)
+}
--- a/process/upload/body.go
+++ b/process/upload/body.go
@@ -30,6 +30,26 @@
 	return http.NewResponseController(b.response).EnableFullDuplex()
 }
 
+// ResponseWriter returns the writer for the response to the request. A response whose head is
+// written before the whole body was read says that the connection ends with it, as Finish may
+// have to close the connection: a client that kept it would lose its next request.
+func (b *Body) ResponseWriter() http.ResponseWriter { return &responseWriter{b.response, b} }
+
+type responseWriter struct {
+	http.ResponseWriter
+	body *Body
+}
+
+// Unwrap is for http.ResponseController.
+func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (w *responseWriter) WriteHeader(status int) {
+	if w.body.forwarded && !w.body.whole.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
 func (b *Body) Read(p []byte) (int, error) {
 	b.started.Store(true)
 	n, err := b.source.Read(p)
