conformance, conntest: generated exchanges on connections, judged by one statement

Six faults of one family were found from outside; the suite had a test for each and nothing that draws the next one.

--- a/cmd/hyssopsill/soak.go
+++ b/cmd/hyssopsill/soak.go
@@ -32,7 +32,8 @@
 			&cli.StringFlag{Name: "binaries", Usage: "`DIR` of hyssopsilld and hyssopsill-standin (default: that of this program)"},
 			&cli.StringFlag{Name: "dir", Usage: "`DIR` for the reports (default: a temporary one)"},
 		},
-		Action: a.soak,
+		Action:   a.soak,
+		Commands: []*cli.Command{soakConnectionsCommand(a)},
 	}
 }
 
