node: notice a client that leaves during a request that was read ahead

Targets worked on reads of clients that had left, and further requests of the connection reached them after that: where a client sends several requests at once and a byte more while the first one runs, its leave during the second was not noticed until the end of that one.

Cause: while a handler runs, net/http watches the connection with a read of one byte. A byte that this read has taken is kept until the server needs it. If the next request is in the server's buffer already, the byte is still there when that request runs, and net/http does not start its watch at all.

The connection now knows that the server holds such a byte: from the watch's read until the next larger read. A request that begins meanwhile is watched as large uploads are, by a look at the connection each 100 ms.

The generator's own target took the second read of a body that had broken off for its end; that is corrected, too.

--- a/conntest/target.go
+++ b/conntest/target.go
@@ -96,6 +96,7 @@
 	run    *conformance.Run
 	upload []byte // received so far
 	ended  bool   // all of it was received
+	broken bool   // it broke off
 }
 
 // play reports whether the connection serves a further request.
@@ -109,7 +110,7 @@
 	switch {
 	case !readsUpload || s.c.is(targetAnswers, "before-upload"):
 	case s.c.is(targetAnswers, "during-upload"):
-		s.read(io.LimitReader(s.r.Body, int64(len(s.uploads[s.run.RequestID])/2)))
+		s.broken = s.read(io.LimitReader(s.r.Body, int64(len(s.uploads[s.run.RequestID])/2))) != nil
 	default:
 		s.readRest()
 	}
@@ -167,11 +168,11 @@
 }
 
 func (s *targetSide) readRest() {
-	if s.ended {
+	if s.ended || s.broken { // net/http reports the early end of a body only once
 		return
 	}
 	err := s.read(s.r.Body)
-	s.ended = err == nil
+	s.ended, s.broken = err == nil, err != nil
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.run.Upload, s.run.UploadEnded = int64(len(s.upload)), s.ended
--- a/process/node/listen.go
+++ b/process/node/listen.go
@@ -224,6 +224,7 @@
 	broken       bool      // a read or a write has failed, or the client has closed the connection
 	resetOnClose bool      // SetLinger(0) is in force
 	readAhead    bool      // bytes behind the request that runs have arrived
+	holdsByte    bool      // the server holds a byte of them, and does not watch the connection
 
 	// The lock of listener.lingering protects these.
 	lingers      *list.Element
@@ -329,6 +330,7 @@
 func (c *limitedConn) beforeRead(size int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.holdsByte = c.holdsByte && size <= 1 // the server uses the byte before it reads on
 	if c.listener.memory == nil || c.phase != phaseRequest || size <= 1 {
 		return false
 	}
@@ -518,7 +520,7 @@
 			cancel()
 			r = r.WithContext(ctx)
 		}
-		r, stop := c.watchUpload(r)
+		r, stop := c.watch(r)
 		defer stop()
 		h.ServeHTTP(w, r)
 		c.setHandling(false) // not after a panic
--- a/process/node/watch.go
+++ b/process/node/watch.go
@@ -22,7 +22,7 @@
 	if size != 1 || c.phase != phaseRequest {
 		return false
 	}
-	c.readAhead = true
+	c.readAhead, c.holdsByte = true, true
 	return true
 }
 
--- a/process/node/watch_test.go
+++ b/process/node/watch_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -62,3 +63,46 @@
 		}
 	}
 }
+
+// Guards against a client that leaves unnoticed while a request runs which was read together
+// with the one before it, when more has arrived behind.
+func TestClientLeavesNoticedDuringRequestThatWasReadAhead(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	for _, together := range []int{2, 3} {
+		for _, behind := range []string{"", "\r\n", "G", request} {
+			t.Run(fmt.Sprintf("%d requests, %q behind", together, behind), func(t *testing.T) {
+				t.Parallel()
+				begun, release, ended := make(chan struct{}), make(chan struct{}), make(chan struct{}, together)
+				requests := 0
+				service := startLimitedService(t, 4, time.Minute, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+					requests++
+					begun <- struct{}{}
+					if requests < together {
+						<-release
+						return
+					}
+					<-r.Context().Done()
+					ended <- struct{}{}
+				}))
+				conn := dialService(t, service.listener.Addr().String()).(*net.TCPConn)
+				_, _ = io.WriteString(conn, strings.Repeat(request, together))
+				<-begun
+				_, _ = io.WriteString(conn, behind)
+				time.Sleep(20 * time.Millisecond) // it arrives while the first request runs
+				for range together - 1 {
+					release <- struct{}{}
+					<-begun
+				}
+				if err := conn.CloseWrite(); err != nil {
+					t.Fatal(err)
+				}
+				select {
+				case <-ended:
+				case <-time.After(3 * time.Second):
+					_ = conn.Close()
+					t.Fatal("the request still runs 3s after its client has left")
+				}
+			})
+		}
+	}
+}
