conntest: transfers that take their time, whole answers that an upload destroys

- A whole answer counts as delivered also when the node broke off the upload that its target still reads; before, it counted only with the whole upload.
- conformance has a rule for a response that does not say that its connection ends, though a request behind it gets no response.
- Sizes have an upload that exceeds what the kernel takes, and one that ends within 256 KiB of the answer's begin; framing of answers is drawn evenly.

--- a/conformance/check.go
+++ b/conformance/check.go
@@ -15,6 +15,7 @@
 	OwnAnswer Rule = "own-answer" // a complete answer is a whole answer of a target to this request
 	Promise   Rule = "promise"    // what is promised not to run does not run
 	Once      Rule = "once"       // work that is not idempotent runs at most once
+	Unsaid    Rule = "unsaid"     // a response says so if the connection ends with it
 	Behind    Rule = "behind"     // nothing behind a response that closes its connection runs
 	LeftRule  Rule = "left"       // nothing reaches a target long after its caller has left
 	Upload    Rule = "upload"     // a target receives what the caller sent, and a part looks like a part
@@ -74,6 +75,7 @@
 	if conn.Stuck {
 		c.add(Stuck, "%d of %d requests got a response before the caller gave up", len(conn.Responses), len(conn.Requests))
 	}
+	c.checkEndIsSaid()
 	for i, response := range conn.Responses {
 		if !response.Closes {
 			continue
@@ -86,6 +88,19 @@
 	}
 }
 
+// checkEndIsSaid checks that the last response says that the connection ends with it if a
+// request behind it got none.
+func (c *checker) checkEndIsSaid() {
+	conn := c.Connection
+	next := len(conn.Responses)
+	if c.Cut || conn.Left > 0 || conn.Stuck || next == 0 || next >= len(conn.Requests) || !conn.Requests[next].Whole {
+		return
+	}
+	if last := conn.Responses[next-1]; last.Complete && !last.Closes {
+		c.add(Unsaid, "response %d does not say that the connection ends, and request %s got no response", next, conn.Requests[next].ID)
+	}
+}
+
 func (c *checker) checkRuns(request Request) {
 	runs := c.runs[request.ID]
 	if len(runs) > 1 && !request.Idempotent {
@@ -120,21 +135,15 @@
 			}
 		}
 		c.add(OwnAnswer, "the answer to %s, status %d, is that of run %q", request.ID, response.Status, response.Run)
-	case NotRun:
-		c.checkPromise(request, response, runs)
 	default:
 		// A response without an outcome comes from the HTTP server of a node, before any
 		// request was made of what the caller sent.
-		if response.Status < http.StatusBadRequest {
+		if response.Outcome != NotRun && response.Status < http.StatusBadRequest {
 			c.add(OwnAnswer, "a response to %s with status %d has no outcome", request.ID, response.Status)
 		}
-		c.checkPromise(request, response, runs)
-	}
-}
-
-func (c *checker) checkPromise(request Request, response Response, runs []Run) {
-	if len(runs) > 0 {
-		c.add(Promise, "request %s ran %d times, but the caller got status %d, outcome %q", request.ID, len(runs), response.Status, response.Outcome)
+		if len(runs) > 0 {
+			c.add(Promise, "request %s ran %d times, but the caller got status %d, outcome %q", request.ID, len(runs), response.Status, response.Outcome)
+		}
 	}
 }
 
--- a/conformance/check_test.go
+++ b/conformance/check_test.go
@@ -35,6 +35,11 @@
 		"surplus":                    {func(o *Observation) { o.Connection.Surplus = 1 }, Surplus},
 		"response without a request": {func(o *Observation) { o.Connection.Requests = o.Connection.Requests[:1] }, Surplus},
 		"stuck":                      {func(o *Observation) { o.Connection.Stuck = true }, Stuck},
+		"connection that just ends":  {func(o *Observation) { o.Connection.Responses = o.Connection.Responses[:1] }, Unsaid},
+		"closing response": {func(o *Observation) {
+			o.Connection.Responses = o.Connection.Responses[:1]
+			o.Connection.Responses[0].Closes = true
+		}, ""},
 		"run behind a closing one":   {func(o *Observation) { o.Connection.Responses[0].Closes = true; o.Runs[0].RequestID = "b" }, Behind},
 		"order that runs twice":      {func(o *Observation) { o.Runs = append(o.Runs, o.Runs[0]) }, Once},
 		"run long after the leave":   {func(o *Observation) { o.Connection.Left = time.Second; o.Runs[0].At = 1600 * time.Millisecond }, LeftRule},
--- a/conntest/dimensions.go
+++ b/conntest/dimensions.go
@@ -56,7 +56,7 @@
 // sizes of the bodies of requests and answers, bytes. A long answer is streamed; the others
 // are buffered by the entry.
 var sizes = map[string]struct{ upload, answer int }{
-	"small": {1, 10}, "empty": {0, 0}, "medium": {5000, 5000}, "window": {100_000, 100_000},
+	"small": {1, 10}, "empty": {0, 0}, "medium": {5000, 5000}, "window": {1 << 20, 200_000},
 	"long-upload": {4 << 20, 10}, "long-answer": {1, 600_000}, "long": {300_000, 600_000}, "longest": {4 << 20, 600_000},
 }
 
@@ -116,7 +116,7 @@
 	{targetUpload, []string{"reads", "leaves", "slow"}},
 	{targetDelay, []string{"0ms", "60ms", "700ms"}},
 	{targetExtra, []string{"none", "bytes", "copy", "late-copy"}},
-	{targetEnd, append([]string{string(peer.Stays)}, combine([]peer.End{peer.Closes, peer.Resets, quiet}, "whole", "none", "head", "body")...)},
+	{targetEnd, append([]string{string(peer.Stays)}, append(combine([]peer.End{peer.Closes, peer.Resets}, "whole", "none", "head", "body"), combine([]peer.End{quiet}, "none", "body")...)...)},
 	{bodySizes, []string{"small", "empty", "medium", "window", "long-upload", "long-answer", "long", "longest"}},
 	{nodeProfile, []string{"default", closeDelimited, requestIDs}},
 	{nodeTopology, []string{"together", "apart"}},
@@ -189,14 +189,14 @@
 // plainShares are the shares of the dimensions of a side that keep their plainest value, in
 // tenths. A case in which all sides are odd seldom gets far enough for two odd things to
 // meet.
-var plainShares = []int{0, 4, 10}
+var plainShares = []int{0, 4, 10, 10}
 
 // A side is the part of a dimension's name before the dot.
 const sideSeparator = "."
 
-// neutral are the dimensions that neither break an exchange off nor end it early. They do not
+// neutral are the dimensions that seldom break an exchange off or end it early. They do not
 // keep their plainest value, as most faults need a transfer that takes its time.
-var neutral = []string{callerUpload, callerPace, callerReading, targetAnswers, targetUpload, nodeProfile, nodeTopology, bodySizes}
+var neutral = []string{callerUpload, callerPace, callerReading, targetFraming, targetAnswers, targetUpload, nodeProfile, nodeTopology, bodySizes}
 
 var caseGenerator = rapid.Custom(func(t *rapid.T) Case {
 	c, shares := Case{}, map[string]int{}
--- a/conntest/target.go
+++ b/conntest/target.go
@@ -123,7 +123,8 @@
 	if readsOn {
 		s.readRest()
 	}
-	answer.Delivered = answer.Whole && err == nil && s.ended && end != peer.Resets
+	// A connection that is closed with bytes unread is reset.
+	answer.Delivered = answer.Whole && err == nil && readsOn && end != peer.Resets
 	s.note(answer)
 	return s.end(err == nil)
 }
