--- a/conntest/caller.go
+++ b/conntest/caller.go
@@ -59,10 +59,8 @@
 	requests  []*outgoing
 	continued chan struct{} // an interim response arrived
 
-	// closeDelimited tells that the last response ended with the connection.
-	closeDelimited bool
-
-	reset bool // a write met a reset of the connection; send sets it
+	closeDelimited bool // the last response ended with the connection
+	reset          bool // a write met a reset of the connection; send sets it
 
 	mu   sync.Mutex
 	conn *peer.Conn
--- a/conntest/dimensions.go
+++ b/conntest/dimensions.go
@@ -10,10 +10,10 @@
 	"github.com/hyssopsill/hyssopsill/standin/peer"
 )
 
-// Dimension is a property of a case that varies independently of the others.
-type Dimension struct {
-	Name   string   `json:"name"`
-	Values []string `json:"values"` // the plainest first
+// dimension is a property of a case that varies independently of the others.
+type dimension struct {
+	Name   string
+	Values []string // the plainest first
 }
 
 // Names of dimensions.
@@ -73,8 +73,8 @@
 
 // end returns how and at which stage a side ends the connection; the stage is empty for one
 // that stays.
-func (c Case) end(dimension string) (peer.End, string) {
-	end, stage, _ := strings.Cut(c.value(dimension), "/")
+func (c Case) end(name string) (peer.End, string) {
+	end, stage, _ := strings.Cut(c.value(name), "/")
 	return peer.End(end), stage
 }
 
@@ -89,16 +89,13 @@
 	memoryRefused = "memory-refused" // connections hold the memory that the host allows
 	routeMoved    = "route-moved"    // to another path, so that the request has no route
 	routeSlower   = "route-changed"  // another deadline
-	pathReset     = "path-reset"     // connections between entry and gate are reset
+	pathReset     = "path-reset"     // connections between entry and gate are reset, where these are two nodes
 	pathSilent    = "path-silent"    // they stay open and carry nothing more
 )
 
 var disruptions = []string{noDisruption, drainEntry, drainGate, cutEntry, cutGate, slotsFull, memoryRefused, routeMoved, routeSlower, pathReset, pathSilent}
 
-// Dimensions returns all dimensions.
-func Dimensions() []Dimension { return slices.Clone(dimensions) }
-
-var dimensions = []Dimension{
+var dimensions = []dimension{
 	{callerVersion, []string{"1.1", "1.0"}},
 	{callerRequests, []string{"1", "2", "3"}},
 	{callerKind, []string{"read", "order"}},
@@ -128,15 +125,15 @@
 // Case is a value for each dimension. A dimension without one has its plainest value.
 type Case map[string]string
 
-func (c Case) value(dimension string) string {
-	if v, ok := c[dimension]; ok {
+func (c Case) value(name string) string {
+	if v, ok := c[name]; ok {
 		return v
 	}
-	i := slices.IndexFunc(dimensions, func(d Dimension) bool { return d.Name == dimension })
+	i := slices.IndexFunc(dimensions, func(d dimension) bool { return d.Name == name })
 	return dimensions[i].Values[0]
 }
 
-func (c Case) is(dimension, value string) bool { return c.value(dimension) == value }
+func (c Case) is(name, value string) bool { return c.value(name) == value }
 
 // disrupted reports whether one of the disruptions occurs in a case.
 func (c Case) disrupted(by ...string) bool {
@@ -151,7 +148,7 @@
 	}
 	slices.Sort(names)
 	for _, name := range names {
-		i := slices.IndexFunc(dimensions, func(d Dimension) bool { return d.Name == name })
+		i := slices.IndexFunc(dimensions, func(d dimension) bool { return d.Name == name })
 		if i < 0 {
 			return fmt.Errorf("dimension %q does not exist", name)
 		}
