--- a/version/config/change.go
+++ b/version/config/change.go
@@ -61,10 +61,10 @@
 	decoder.DisallowUnknownFields()
 	var c Change
 	if err := decoder.Decode(&c); err != nil {
-		return Change{}, finding.List{jsonFinding(file, data, err)}
+		return Change{}, finding.List{finding.FromJSON(file, data, err)}
 	}
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return Change{}, finding.List{{File: file, Line: lineAt(data, decoder.InputOffset()), Message: "data after the change"}}
+		return Change{}, finding.List{{File: file, Line: finding.LineAt(data, decoder.InputOffset()), Message: "data after the change"}}
 	}
 	return c, c.check(file)
 }
@@ -114,23 +114,3 @@
 	}
 	return false
 }
-
-// jsonFinding returns a decoding error of data as a finding with its line.
-func jsonFinding(file string, data []byte, err error) finding.Finding {
-	f := finding.Finding{File: file, Message: err.Error()}
-	var syntax *json.SyntaxError
-	var wrongType *json.UnmarshalTypeError
-	switch {
-	case errors.As(err, &syntax):
-		f.Line = lineAt(data, syntax.Offset)
-	case errors.As(err, &wrongType):
-		f.Line, f.Key = lineAt(data, wrongType.Offset), wrongType.Field
-	default:
-		f.Line = 1
-	}
-	return f
-}
-
-func lineAt(data []byte, offset int64) int {
-	return 1 + bytes.Count(data[:min(max(offset, 0), int64(len(data)))], []byte("\n"))
-}
