conntest, roundtrip: names and repetitions that stop a reader

- conntest.Load returns findings with their place, all of them, by package finding.
- Two fields named ended, one hidden by the other, are caseEnded and uploadEnded.
- conformance.Left and routeChanged are named as the others.
- roundtrip.closeAfter is the one place that closes after an exchange; it was written twice.
Two tests share a server.
No change of behaviour but the wording of findings about case files.

--- a/cmd/hyssopsill/soak_connections_test.go
+++ b/cmd/hyssopsill/soak_connections_test.go
@@ -13,7 +13,7 @@
 	if err := os.WriteFile(file, []byte("{\"case\": {\"caller.kind\": \"order\",\n\"target.sort\": \"x\"}}"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	f.expect(t, "hyssopsill soak connections --play "+file, exitBadInput, file+": case: dimension \"target.sort\" does not exist")
+	f.expect(t, "hyssopsill soak connections --play "+file, exitBadInput, file+": case.target.sort: this dimension does not exist")
 	f.expect(t, "hyssopsill soak connections --play "+file+".missing", exitBadInput, "no such file")
 	f.expect(t, "hyssopsill soak connections --cases 0", exitBadInput, "want --cases and --parallel of 1 or more")
 	f.expect(t, "hyssopsill soak connections --play "+file+" --times 0", exitBadInput, "want --times of 1 or more")
--- a/conformance/check.go
+++ b/conformance/check.go
@@ -17,7 +17,7 @@
 	Once      Rule = "once"       // work that is not idempotent runs at most once
 	Unsaid    Rule = "unsaid"     // a response says so if the connection ends with it
 	Behind    Rule = "behind"     // nothing behind a response that closes its connection runs
-	LeftRule  Rule = "left"       // nothing reaches a target long after its caller has left
+	Left      Rule = "left"       // nothing reaches a target long after its caller has left
 	Upload    Rule = "upload"     // a target receives what the caller sent, and a part looks like a part
 	Lost      Rule = "lost"       // a whole answer reaches a caller that reads
 	Unasked   Rule = "unasked"    // a target gets only requests that a caller sent
@@ -108,7 +108,7 @@
 	}
 	for _, run := range runs {
 		if left := c.Connection.Left; left > 0 && run.At > left+MaxAfterLeave {
-			c.add(LeftRule, "run %s began %s after the caller had left", run.ID, run.At-left)
+			c.add(Left, "run %s began %s after the caller had left", run.ID, run.At-left)
 		}
 		if run.UploadAltered {
 			c.add(Upload, "run %s received %d bytes that differ from those sent", run.ID, run.Upload)
--- a/conformance/check_test.go
+++ b/conformance/check_test.go
@@ -42,7 +42,7 @@
 		}, ""},
 		"run behind a closing one":   {func(o *Observation) { o.Connection.Responses[0].Closes = true; o.Runs[0].RequestID = "b" }, Behind},
 		"order that runs twice":      {func(o *Observation) { o.Runs = append(o.Runs, o.Runs[0]) }, Once},
-		"run long after the leave":   {func(o *Observation) { o.Connection.Left = time.Second; o.Runs[0].At = 1600 * time.Millisecond }, LeftRule},
+		"run long after the leave":   {func(o *Observation) { o.Connection.Left = time.Second; o.Runs[0].At = 1600 * time.Millisecond }, Left},
 		"other bytes in the upload":  {func(o *Observation) { o.Runs[0].UploadAltered = true }, Upload},
 		"part taken for the whole":   {func(o *Observation) { o.Runs[0].Upload = 2 }, Upload},
 		"accepted part":              {func(o *Observation) { o.Runs[0].Upload, o.Runs[0].UploadEnded = 2, false }, Upload},
--- a/conntest/conntest_test.go
+++ b/conntest/conntest_test.go
@@ -59,8 +59,8 @@
 		t.Error("the same seed gave other cases")
 	}
 	for _, c := range first {
-		if err := c.Check(); err != nil {
-			t.Fatal(err)
+		if findings := c.check("case"); len(findings) > 0 {
+			t.Fatal(findings)
 		}
 		played.add(c.Case)
 	}
@@ -74,19 +74,19 @@
 func TestLoad(t *testing.T) {
 	for content, want := range map[string]string{
 		`{"case": {"caller.kind": "order"}}`:   "",
-		`{"case": {"caller.kind": "other"}}`:   `case: dimension "caller.kind" has no value "other", want one of read, order`,
-		`{"case": {"caller.sort": "order"}}`:   `case: dimension "caller.sort" does not exist`,
-		"{\n\"case\": {\"caller.kind\": }}":    "line 2: invalid character",
-		"{\"case\":\n{\"caller.kind\": 3}}":    "line 2: json: cannot unmarshal number",
-		`{"cases": {"caller.kind": "order"}}`:  `the field "case" is missing`,
-		`{"case": {"caller.kind": "order"}}}}`: "line 1: invalid character",
+		`{"case": {"caller.kind": "other"}}`:   `: case.caller.kind: want one of read, order, got "other"`,
+		`{"case": {"caller.sort": "order"}}`:   `: case.caller.sort: this dimension does not exist`,
+		"{\n\"case\": {\"caller.kind\": }}":    ":2: invalid character",
+		"{\"case\":\n{\"caller.kind\": 3}}":    ":2: case: json: cannot unmarshal number",
+		`{"cases": {"caller.kind": "order"}}`:  `: case: is missing`,
+		`{"case": {"caller.kind": "order"}}}}`: ":1: invalid character",
 	} {
 		file := filepath.Join(t.TempDir(), "case.json")
 		if err := os.WriteFile(file, []byte(content), 0o600); err != nil {
 			t.Fatal(err)
 		}
 		c, err := Load(file)
-		if (want == "") != (err == nil) || (err != nil && !strings.Contains(err.Error(), file+": "+want)) {
+		if (want == "") != (err == nil) || (err != nil && !strings.Contains(err.Error(), file+want)) {
 			t.Errorf("%s: %v, %v, want %s", content, c, err, want)
 		}
 	}
--- a/conntest/dimensions.go
+++ b/conntest/dimensions.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
 	"pgregory.net/rapid"
 
+	"github.com/hyssopsill/hyssopsill/finding"
 	"github.com/hyssopsill/hyssopsill/standin/peer"
 )
 
@@ -88,12 +90,12 @@
 	slotsFull     = "slots-full"     // the listener for callers has one slot left
 	memoryRefused = "memory-refused" // connections hold the memory that the host allows
 	routeMoved    = "route-moved"    // to another path, so that the request has no route
-	routeSlower   = "route-changed"  // another deadline
+	routeChanged  = "route-changed"  // another deadline
 	pathReset     = "path-reset"     // connections between entry and gate are reset, where these are two nodes
 	pathSilent    = "path-silent"    // they stay open and carry nothing more
 )
 
-var disruptions = []string{noDisruption, drainEntry, drainGate, cutEntry, cutGate, slotsFull, memoryRefused, routeMoved, routeSlower, pathReset, pathSilent}
+var disruptions = []string{noDisruption, drainEntry, drainGate, cutEntry, cutGate, slotsFull, memoryRefused, routeMoved, routeChanged, pathReset, pathSilent}
 
 var dimensions = []dimension{
 	{callerVersion, []string{"1.1", "1.0"}},
@@ -140,23 +142,18 @@
 	return slices.Contains(by, c.value(nodeFirst)) || slices.Contains(by, c.value(nodeSecond))
 }
 
-// Check returns an error that names the first dimension or value that does not exist.
-func (c Case) Check() error {
-	names := make([]string, 0, len(c))
-	for name := range c {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
+// check returns the dimensions and values that do not exist.
+func (c Case) check(file string) finding.List {
+	var out finding.List
+	for _, name := range slices.Sorted(maps.Keys(c)) {
 		i := slices.IndexFunc(dimensions, func(d dimension) bool { return d.Name == name })
 		if i < 0 {
-			return fmt.Errorf("dimension %q does not exist", name)
-		}
-		if values := dimensions[i].Values; !slices.Contains(values, c[name]) {
-			return fmt.Errorf("dimension %q has no value %q, want one of %s", name, c[name], strings.Join(values, ", "))
+			out = append(out, finding.Finding{File: file, Key: "case." + name, Message: "this dimension does not exist"})
+		} else if values := dimensions[i].Values; !slices.Contains(values, c[name]) {
+			out = append(out, finding.Finding{File: file, Key: "case." + name, Message: fmt.Sprintf("want one of %s, got %q", strings.Join(values, ", "), c[name])})
 		}
 	}
-	return nil
+	return out
 }
 
 // has reports whether a case has all values of a description that String returned.
--- a/conntest/fleet.go
+++ b/conntest/fleet.go
@@ -250,14 +250,11 @@
 // prepare puts those disruptions in force that a caller finds when it connects.
 func (f *fleet) prepare(ctx context.Context, c Case) error {
 	held, count := "", 0
-	if c.disrupted(slotsFull) {
-		count = callerSlots - 1
-	}
 	if c.disrupted(memoryRefused) {
-		held, count = "GET / HTTP/1.1\r\nX: "+strings.Repeat("x", holderBytes), max(count, scarceHolders)
+		held, count = "GET / HTTP/1.1\r\nX: "+strings.Repeat("x", holderBytes), scarceHolders
 	}
 	if c.disrupted(slotsFull) {
-		count = min(count, callerSlots-1)
+		count = callerSlots - 1
 	}
 	for range count {
 		conn, err := peer.Dial(ctx, f.entry.Addresses().Caller, 0)
@@ -279,7 +276,7 @@
 		f.gate.Drain()
 	case routeMoved:
 		return f.publish(ctx, "moved", requestDeadline, "/moved-kits", "/moved-orders")
-	case routeSlower:
+	case routeChanged:
 		return f.publish(ctx, "changed", 2*requestDeadline, "/kits", "/orders")
 	case pathReset:
 		if f.proxy != nil {
--- a/conntest/play.go
+++ b/conntest/play.go
@@ -71,7 +71,7 @@
 	begin := time.Now()
 	callers := newCallers(c, begin)
 	d := &disrupter{c: c}
-	t := &target{c: c, begin: begin, uploads: uploads(callers), ended: ended, onRun: func() { d.at("run") }, onAnswer: func() { d.at("answer") }}
+	t := &target{c: c, begin: begin, uploads: uploads(callers), caseEnded: ended, onRun: func() { d.at("run") }, onAnswer: func() { d.at("answer") }}
 	var serving sync.WaitGroup
 	go peer.Serve(listener, func(conn *peer.Conn) { serving.Go(func() { t.serve(conn) }) })
 	f, err := startFleet(ctx, c, listenAddress, listener.Addr().String())
--- a/conntest/run.go
+++ b/conntest/run.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/hyssopsill/hyssopsill/conformance"
+	"github.com/hyssopsill/hyssopsill/finding"
 )
 
 // Defaults of Options.
@@ -187,22 +188,22 @@
 }
 
 func (r *runner) reduce(ctx context.Context, seed uint64, result Result, v conformance.Violation) {
-	finding := Finding{Seed: seed, Rule: v.Rule, Detail: v.Detail, Case: result.Case.String(), Cases: 1}
+	f := Finding{Seed: seed, Rule: v.Rule, Detail: v.Detail, Case: result.Case.String(), Cases: 1}
 	reduced := result
 	if !r.options.First {
 		var err error
 		if reduced, err = Reduce(ctx, result, v.Rule); err != nil {
-			finding.Detail += "; not reduced: " + err.Error()
+			f.Detail += "; not reduced: " + err.Error()
 		}
-		finding.Reduced = reduced.Case.String()
+		f.Reduced = reduced.Case.String()
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	finding.File = filepath.Join(r.options.Dir, fmt.Sprintf("case-%d.json", len(r.report.Findings)+1))
-	if err := writeJSON(finding.File, reduced); err != nil {
-		finding.Detail += "; not written: " + err.Error()
+	f.File = filepath.Join(r.options.Dir, fmt.Sprintf("case-%d.json", len(r.report.Findings)+1))
+	if err := writeJSON(f.File, reduced); err != nil {
+		f.Detail += "; not written: " + err.Error()
 	}
-	r.report.Findings = append(r.report.Findings, finding)
+	r.report.Findings = append(r.report.Findings, f)
 }
 
 func writeJSON(file string, v any) error {
@@ -226,7 +227,8 @@
 	return os.WriteFile(filepath.Join(r.options.Dir, pictureFile), drawPairs(r.played, r.broken), 0o600)
 }
 
-// Load reads a case from a file that Run wrote, or that has the same form.
+// Load reads a case from a file that Run wrote, or that has the same form. The error is a
+// finding.List when the content is invalid.
 func Load(file string) (Case, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
@@ -236,33 +238,10 @@
 		Case Case `json:"case"`
 	}
 	if err := json.Unmarshal(data, &content); err != nil {
-		return nil, fmt.Errorf("%s: %w", file, describe(data, err))
+		return nil, finding.List{finding.FromJSON(file, data, err)}
 	}
 	if content.Case == nil {
-		return nil, fmt.Errorf("%s: the field \"case\" is missing", file)
+		return nil, finding.List{{File: file, Key: "case", Message: "is missing"}}
 	}
-	if err := content.Case.Check(); err != nil {
-		return nil, fmt.Errorf("%s: case: %w", file, err)
-	}
-	return content.Case, nil
-}
-
-// describe adds the line to an error of the JSON decoder.
-func describe(data []byte, err error) error {
-	var offset int64
-	switch e := err.(type) {
-	case *json.SyntaxError:
-		offset = e.Offset
-	case *json.UnmarshalTypeError:
-		offset = e.Offset
-	default:
-		return err
-	}
-	line := 1
-	for _, b := range data[:min(offset, int64(len(data)))] {
-		if b == '\n' {
-			line++
-		}
-	}
-	return fmt.Errorf("line %d: %w", line, err)
+	return content.Case, content.Case.check(file).Err()
 }
--- a/conntest/target.go
+++ b/conntest/target.go
@@ -29,12 +29,12 @@
 
 // target is the target of a case. It is safe for concurrent use.
 type target struct {
-	c        Case
-	begin    time.Time
-	uploads  map[string][]byte // by request
-	ended    <-chan struct{}   // the case
-	onRun    func()            // a head arrived
-	onAnswer func()            // a part of an answer was sent
+	c         Case
+	begin     time.Time
+	uploads   map[string][]byte // by request
+	caseEnded <-chan struct{}
+	onRun     func() // a head arrived
+	onAnswer  func() // a part of an answer was sent
 
 	mu   sync.Mutex
 	runs []*conformance.Run
@@ -90,13 +90,13 @@
 // targetSide is the target's side of one run.
 type targetSide struct {
 	*target
-	c      Case
-	conn   *peer.Conn
-	r      *http.Request
-	run    *conformance.Run
-	upload []byte // received so far
-	ended  bool   // all of it was received
-	broken bool   // it broke off
+	c            Case
+	conn         *peer.Conn
+	r            *http.Request
+	run          *conformance.Run
+	upload       []byte // received so far
+	uploadEnded  bool   // all of it was received
+	uploadBroken bool   // it broke off
 }
 
 // play reports whether the connection serves a further request.
@@ -110,7 +110,7 @@
 	switch {
 	case !readsUpload || s.c.is(targetAnswers, "before-upload"):
 	case s.c.is(targetAnswers, "during-upload"):
-		s.broken = s.read(io.LimitReader(s.r.Body, int64(len(s.uploads[s.run.RequestID])/2))) != nil
+		s.uploadBroken = s.read(io.LimitReader(s.r.Body, int64(len(s.uploads[s.run.RequestID])/2))) != nil
 	default:
 		s.readRest()
 	}
@@ -139,7 +139,7 @@
 func (s *targetSide) end(sent bool) bool {
 	end, stage := s.c.end(targetEnd)
 	if !sent || end == quiet || s.c.is(targetUpload, "leaves") && end == peer.Stays {
-		<-s.target.ended // nothing more is read
+		<-s.caseEnded // nothing more is read
 		return false
 	}
 	if end != peer.Stays {
@@ -154,7 +154,7 @@
 		_, copied := s.answer()
 		_, _ = s.conn.Write(copied) // fails only if the gate has closed the connection
 	}
-	return !s.endsWithConnection() && s.ended
+	return !s.endsWithConnection() && s.uploadEnded
 }
 
 // read reads a part of the upload.
@@ -169,14 +169,14 @@
 }
 
 func (s *targetSide) readRest() {
-	if s.ended || s.broken { // net/http reports the early end of a body only once
+	if s.uploadEnded || s.uploadBroken { // net/http reports the early end of a body only once
 		return
 	}
 	err := s.read(s.r.Body)
-	s.ended, s.broken = err == nil, err != nil
+	s.uploadEnded, s.uploadBroken = err == nil, err != nil
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.run.Upload, s.run.UploadEnded = int64(len(s.upload)), s.ended
+	s.run.Upload, s.run.UploadEnded = int64(len(s.upload)), s.uploadEnded
 	s.run.UploadAltered = !bytes.HasPrefix(s.uploads[s.run.RequestID], s.upload)
 }
 
--- a/process/roundtrip/conn.go
+++ b/process/roundtrip/conn.go
@@ -69,10 +69,11 @@
 
 func (cn *conn) close() { _ = cn.netConn.Close() }
 
-// abandon closes a connection whose exchange is given up. The peer may have no room for what
-// is not sent yet and would never see an orderly end behind it, so it gets a reset.
-func (cn *conn) abandon() {
-	if tcp, ok := cn.netConn.(*net.TCPConn); ok {
+// closeAfter closes a connection after an exchange. Where an upload was given up, the peer may
+// have no room for what is not sent yet and would never see an orderly end behind it, so it
+// gets a reset.
+func (cn *conn) closeAfter(ctx context.Context, sender *bodySender) {
+	if tcp, ok := cn.netConn.(*net.TCPConn); ok && sender != nil && ctx.Err() != nil {
 		_ = tcp.SetLinger(0) // fails only if the connection is closed
 	}
 	cn.close()
@@ -130,11 +131,7 @@
 	resp, unrelated, err := cn.readResponse(req)
 	if err != nil {
 		stopInterrupt()
-		if sender != nil && ctx.Err() != nil {
-			cn.abandon()
-		} else {
-			cn.close()
-		}
+		cn.closeAfter(ctx, sender)
 		stage := StageRead
 		if sender != nil {
 			sender.stopAndWait()
@@ -328,11 +325,7 @@
 	if complete && !sent && !b.rejects {
 		b.sender.awaitEnd(b.ctx, b.cn) // the connection is not reused, as the peer may still read from it
 	}
-	if b.sender != nil && b.ctx.Err() != nil {
-		b.cn.abandon()
-	} else {
-		b.cn.close()
-	}
+	b.cn.closeAfter(b.ctx, b.sender)
 	if b.sender != nil {
 		b.sender.stopAndWait()
 	}
--- a/process/roundtrip/field_name_test.go
+++ b/process/roundtrip/field_name_test.go
@@ -29,12 +29,7 @@
 	}
 	names := []string{"X-Note ", "X Note", "Content-Length ", "Content Length", "Transfer-Encoding ", "Transfer Encoding",
 		"X-\x00Note", "X-\x01Note", "X-\x1fNote", "X\tNote", "X-Note\t", "X-\x7fNote", "X-N\xc3\xb6te", "X-(Note)", ""}
-	responses := make(chan string, 1)
-	address := serveConns(t, func(conn net.Conn) {
-		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-			_, _ = io.WriteString(conn, <-responses) // fails only if the client is gone
-		}
-	})
+	address, responses := serveResponses(t)
 	client := roundtrip.New(roundtrip.Options{})
 	defer client.Close()
 	send := func(response string) (*roundtrip.Response, error) {
@@ -60,3 +55,14 @@
 		_ = resp.Body.Close()
 	}
 }
+
+// serveResponses answers the request of each connection with the next text that is sent to
+// the channel, and closes the connection.
+func serveResponses(t *testing.T) (address string, responses chan<- string) {
+	texts := make(chan string, 1)
+	return serveConns(t, func(conn net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = io.WriteString(conn, <-texts) // fails only if the client is gone
+		}
+	}), texts
+}
--- a/process/roundtrip/http10_test.go
+++ b/process/roundtrip/http10_test.go
@@ -1,10 +1,7 @@
 package roundtrip_test
 
 import (
-	"bufio"
 	"io"
-	"net"
-	"net/http"
 	"testing"
 
 	"github.com/hyssopsill/hyssopsill/process/roundtrip"
@@ -23,12 +20,7 @@
 		"HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 4\r\n\r\nbody":      "body",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + chunks:                      "body",
 	}
-	responses := make(chan string, 1)
-	address := serveConns(t, func(conn net.Conn) {
-		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-			_, _ = io.WriteString(conn, <-responses) // fails only if the client is gone
-		}
-	})
+	address, responses := serveResponses(t)
 	client := roundtrip.New(roundtrip.Options{})
 	defer client.Close()
 	for response, body := range want {
